--- a/cmd/check/main.go
+++ b/cmd/check/main.go
@@ -78,8 +78,19 @@
 			args = append(args, f)
 		}
 	}
-	out, err := exec.Command("go", args...).CombinedOutput()
-	if err != nil || len(out) > 0 {
+	return judgeFormat(exec.Command("go", args...))
+}
+
+// judgeFormat runs a formatter that lists unformatted files on standard output.
+// Standard error is passed on: on an empty module cache the go command reports
+// its downloads there.
+func judgeFormat(cmd *exec.Cmd) error {
+	cmd.Stderr = os.Stderr
+	out, err := cmd.Output()
+	if err != nil {
+		return fmt.Errorf("formatter: %w", err)
+	}
+	if len(out) > 0 {
 		return fmt.Errorf("not formatted: %s", out)
 	}
 	return nil
--- a/core_test.go
+++ b/core_test.go
@@ -16,7 +16,7 @@
 var core = []string{
 	"internal/customer/catalogue", "internal/customer/contract", "internal/fleet/membership", "internal/fleet/protocol",
 	"internal/flow/connid", "internal/flow/placement", "internal/flow/routing", "internal/flow/tunnel",
-	"internal/platform/instant", "internal/request/admission", "internal/request/handover", "internal/request/ledger",
+	"internal/clock/instant", "internal/request/admission", "internal/request/handover", "internal/request/ledger",
 	"internal/request/outcome",
 }
 
--- a/internal/experiment/bench/churn.go
+++ b/internal/experiment/bench/churn.go
@@ -5,12 +5,12 @@
 	"net/netip"
 	"time"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/protocol"
 	"github.com/jaytack/jaytack/internal/flow/placement"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 	"github.com/jaytack/jaytack/internal/standin/network"
 )
 
--- a/internal/experiment/bench/control.go
+++ b/internal/experiment/bench/control.go
@@ -7,14 +7,14 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/protocol"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
-	"github.com/jaytack/jaytack/internal/platform/identity"
-	"github.com/jaytack/jaytack/internal/platform/instant"
-	"github.com/jaytack/jaytack/internal/platform/metrics"
+	"github.com/jaytack/jaytack/internal/process/identity"
+	"github.com/jaytack/jaytack/internal/process/metrics"
 	"github.com/jaytack/jaytack/internal/standin/network"
 )
 
--- a/internal/experiment/bench/route.go
+++ b/internal/experiment/bench/route.go
@@ -21,9 +21,9 @@
 	"github.com/jaytack/jaytack/internal/flow/placement"
 	"github.com/jaytack/jaytack/internal/flow/routing"
 	"github.com/jaytack/jaytack/internal/flow/tunnel"
-	"github.com/jaytack/jaytack/internal/platform/journal"
-	"github.com/jaytack/jaytack/internal/platform/settings"
-	"github.com/jaytack/jaytack/internal/platform/sockets"
+	"github.com/jaytack/jaytack/internal/process/journal"
+	"github.com/jaytack/jaytack/internal/process/settings"
+	"github.com/jaytack/jaytack/internal/process/sockets"
 	"github.com/jaytack/jaytack/internal/standin/caller"
 	"github.com/jaytack/jaytack/internal/standin/fleet"
 )
--- a/internal/experiment/bench/serviceconfig.go
+++ b/internal/experiment/bench/serviceconfig.go
@@ -5,7 +5,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/jaytack/jaytack/internal/platform/instant"
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/request/admission"
 )
 
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -26,10 +26,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/flow/placement"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 type (
--- a/internal/fleet/membership/query.go
+++ b/internal/fleet/membership/query.go
@@ -4,9 +4,9 @@
 	"net/netip"
 	"sort"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/flow/placement"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // Balancers returns the live balancers but for this process, in order of address.
--- a/internal/fleet/node/control.go
+++ b/internal/fleet/node/control.go
@@ -16,7 +16,7 @@
 
 	"github.com/jaytack/jaytack/internal/fleet/protocol"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
-	"github.com/jaytack/jaytack/internal/platform/identity"
+	"github.com/jaytack/jaytack/internal/process/identity"
 )
 
 // ErrDial reports a process that could not be reached: nothing was sent to it.
--- a/internal/fleet/node/follow.go
+++ b/internal/fleet/node/follow.go
@@ -15,7 +15,7 @@
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/protocol"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/store"
 )
 
 // How balancers follow the store.
@@ -171,7 +171,7 @@
 		n.Debug("StoreReadFailed", "Reason", err)
 		return
 	}
-	err := n.Store.Watch(ctx, store.Prefix, n.storeRevision(), func(kv store.KV) {
+	_, err := n.Store.Watch(ctx, store.Prefix, n.storeRevision(), func(kv store.KV) {
 		n.takeKV(kv)
 		n.noteStoreRevision(kv.Revision)
 		n.notify()
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -28,15 +28,15 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/protocol"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/identity"
-	"github.com/jaytack/jaytack/internal/platform/instant"
-	"github.com/jaytack/jaytack/internal/platform/journal"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/identity"
+	"github.com/jaytack/jaytack/internal/process/journal"
+	"github.com/jaytack/jaytack/internal/process/store"
 )
 
 var (
--- a/internal/fleet/node/publish.go
+++ b/internal/fleet/node/publish.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
-	"github.com/jaytack/jaytack/internal/platform/metrics"
+	"github.com/jaytack/jaytack/internal/process/metrics"
 )
 
 // Publish adds the node's variables to a set.
--- a/internal/fleet/protocol/contracts.go
+++ b/internal/fleet/protocol/contracts.go
@@ -5,11 +5,11 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // ErrKeyring reports a keyring that cannot be read.
--- a/internal/fleet/protocol/gossip.go
+++ b/internal/fleet/protocol/gossip.go
@@ -6,10 +6,10 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // spread passes news on to a few balancers, within the budget of bytes.
--- a/internal/fleet/protocol/heartbeat.go
+++ b/internal/fleet/protocol/heartbeat.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // sendHeartbeats sends the heartbeats that are due.
--- a/internal/fleet/protocol/protocol.go
+++ b/internal/fleet/protocol/protocol.go
@@ -27,12 +27,12 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // TickEvery is how often Tick is to be called.
--- a/internal/fleet/protocol/protocol_test.go
+++ b/internal/fleet/protocol/protocol_test.go
@@ -9,12 +9,12 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/protocol"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 	"github.com/jaytack/jaytack/internal/standin/network"
 )
 
--- a/internal/flow/routing/routing.go
+++ b/internal/flow/routing/routing.go
@@ -23,10 +23,10 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/flow/placement"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // Verdict is what happens to a datagram.
--- a/internal/flow/routing/routing_test.go
+++ b/internal/flow/routing/routing_test.go
@@ -8,9 +8,9 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/time/rate"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/flow/placement"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 var (
--- a/internal/platform/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -19,7 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/journal"
+	"github.com/jaytack/jaytack/internal/process/journal"
 )
 
 // ErrRead reports a settings file that cannot be read.
--- /dev/null
+++ b/internal/relay/flow/flow.go
@@ -0,0 +1,129 @@
+// Package flow holds the types of relayed flows.
+//
+// A relayed flow is a caller's connection whose packets jaytack carries whole:
+// it reads their headers and changes nothing that the ends can see. A flow is
+// named by its four addresses and ports.
+//
+// # Usage
+//
+//	id := flow.ID{Caller: caller, Address: address}
+//	log("FlowOpened", "Flow", id)
+//	h := id.Hash()
+package flow
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// IP is an IPv4 address. It also names an instance, since each runs one process
+// of a role. 0 is none.
+type IP uint32
+
+// IPOf returns the IPv4 address of a, 0 where it is not one.
+func IPOf(a netip.Addr) IP {
+	a = a.Unmap()
+	if !a.Is4() {
+		return 0
+	}
+	b := a.As4()
+	return IP(binary.BigEndian.Uint32(b[:]))
+}
+
+// Addr returns the address for the standard library.
+func (ip IP) Addr() netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], uint32(ip))
+	return netip.AddrFrom4(b)
+}
+
+// String returns the address in dotted form.
+func (ip IP) String() string { return ip.Addr().String() }
+
+// Endpoint is one end of a flow.
+type Endpoint struct {
+	IP   IP
+	Port uint16
+}
+
+// AddrPort returns the endpoint for the standard library.
+func (e Endpoint) AddrPort() netip.AddrPort { return netip.AddrPortFrom(e.IP.Addr(), e.Port) }
+
+// String returns the endpoint as address and port.
+func (e Endpoint) String() string { return e.IP.String() + ":" + strconv.Itoa(int(e.Port)) }
+
+// EndpointOf returns the endpoint of an IPv4 address and port.
+func EndpointOf(a netip.AddrPort) Endpoint { return Endpoint{IPOf(a.Addr()), a.Port()} }
+
+// ID names a flow.
+type ID struct {
+	// Caller is the caller's end.
+	Caller Endpoint
+	// Address is the service address that the caller talks to.
+	Address Endpoint
+}
+
+// String returns the caller's end and the service address.
+func (id ID) String() string { return id.Caller.String() + ">" + id.Address.String() }
+
+// Hash returns a hash that all processes agree on.
+func (id ID) Hash() uint64 {
+	var b [12]byte
+	binary.BigEndian.PutUint32(b[0:], uint32(id.Caller.IP))
+	binary.BigEndian.PutUint16(b[4:], id.Caller.Port)
+	binary.BigEndian.PutUint32(b[6:], uint32(id.Address.IP))
+	binary.BigEndian.PutUint16(b[10:], id.Address.Port)
+	return xxhash.Sum64(b[:])
+}
+
+// Flags say what a packet does to its flow.
+type Flags uint8
+
+// Flags of packets.
+const (
+	// Syn asks for a new flow or, with Ack, accepts it.
+	Syn Flags = 1 << iota
+	Ack
+	// Fin ends one direction.
+	Fin
+	// Rst ends the flow.
+	Rst
+	// Bounced marks a caller's packet that the upstream did not take.
+	Bounced
+)
+
+// Has reports whether all of the flags are set.
+func (f Flags) Has(of Flags) bool { return f&of == of }
+
+// Packet is the header of a packet, decoded, with the packet itself.
+type Packet struct {
+	Flow  ID
+	Flags Flags
+	// Seq is the position of the first byte of data in its direction.
+	Seq uint32
+	// AckSeq is the position up to which the other direction is acknowledged; on a
+	// caller's Syn it counts the copies of it.
+	AckSeq uint32
+	// Len is the length of the data in bytes.
+	Len int
+	// Bytes is the whole packet.
+	Bytes []byte
+}
+
+// Opens reports whether the packet asks for a new flow.
+func (p Packet) Opens() bool { return p.Flags.Has(Syn) && !p.Flags.Has(Ack) }
+
+// Codec reads and writes packets. All fields are set.
+type Codec struct {
+	// FromCaller decodes a packet that a caller wrote; ok is false where it is none.
+	FromCaller func(b []byte) (p Packet, ok bool)
+	// FromUpstream decodes a packet of an upstream or one that it bounced.
+	FromUpstream func(b []byte) (p Packet, ok bool)
+	// Unbounce makes a bounced packet again what the caller wrote, in place.
+	Unbounce func(b []byte)
+	// Reset returns the packet that tells the caller that a flow has ended.
+	Reset func(id ID, seq uint32) []byte
+}
--- /dev/null
+++ b/internal/relay/forwarding/forwarding.go
@@ -0,0 +1,406 @@
+// Package forwarding decides where a balancer sends a caller's packets.
+//
+// A balancer keeps no state that a flow depends on. It sends a packet to the
+// flow's owner where it has been told of one, and else to the flow's home, an
+// agent of the service that knows the owner or finds it. A first packet without a
+// route is reset once a configuration is in force; until then, and until agents
+// are known, packets wait for a moment.
+//
+// # Usage
+//
+//	c := forwarding.New(cfg)
+//	c.Packet(now, bytes)
+//	c.Message(now, from, envelope)
+//	c.Configure(now, configuration)
+//	for _, a := range c.Take() {
+//		do(a)
+//	}
+//
+// The package does no input or output. A Core must not be shared without a lock.
+package forwarding
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/roster"
+	"github.com/jaytack/jaytack/internal/relay/routes"
+)
+
+// Times and bounds.
+const (
+	// TickEvery is how often Tick is called.
+	TickEvery = 100 * time.Millisecond
+	// reportEvery is how often the balancer reports to agents and other balancers.
+	reportEvery = 400 * time.Millisecond
+	// keepHint is how long an owner is remembered without use.
+	keepHint = 30 * time.Second
+	// maxHints bounds the owners that are remembered.
+	maxHints = 1 << 18
+	// keepWaiting is how long packets wait for a configuration and for agents: the
+	// time for which callers try to open a flow.
+	keepWaiting = 1400 * time.Millisecond
+	// maxWaiting bounds the packets that wait.
+	maxWaiting = 1024
+	// expireEvery is how often hints are swept.
+	expireEvery = 2 * time.Second
+	// isolatedAfter is the silence of all agents after which the balancer says that
+	// it cannot route.
+	isolatedAfter = time.Second
+)
+
+// Config is what a balancer knows from its settings.
+type Config struct {
+	Self        flow.IP
+	DataCentre  string
+	Incarnation uint64
+	Codec       flow.Codec
+}
+
+// ActionKind says what is to be done.
+type ActionKind uint8
+
+// Actions.
+const (
+	// Send sends Message to the instance To.
+	Send ActionKind = iota + 1
+	// Reply sends Bytes to the caller of Flow.
+	Reply
+	// Refresh reads the configuration, since the balancer To has a newer version.
+	Refresh
+)
+
+// Action is something that the process has to do.
+type Action struct {
+	Kind    ActionKind
+	To      flow.IP
+	Message *message.Envelope
+	Bytes   []byte
+	Flow    flow.ID
+}
+
+// Decision is a line for the log.
+type Decision struct {
+	Event string
+	// Important is set for lines that are never left out.
+	Important bool
+	Pairs     []any
+}
+
+// Counts counts decisions since the start.
+type Counts struct {
+	Packets, ToOwner, ToHome, Resets, Dropped, Waited, Unreadable, Hints int64
+}
+
+type hint struct {
+	owner flow.IP
+	used  instant.Instant
+}
+
+type waiting struct {
+	at    instant.Instant
+	bytes []byte
+}
+
+// Core is the decisions of one balancer.
+type Core struct {
+	Config
+	Roster *roster.Roster
+	Routes routes.Book
+	Counts Counts
+
+	hints    map[flow.ID]*hint
+	waiting  []waiting
+	sequence uint64
+	stopping bool
+	reportAt instant.Instant
+	expireAt instant.Instant
+	changes  uint64
+
+	actions   []Action
+	decisions []Decision
+}
+
+// New returns the core of a balancer that has heard of nobody.
+func New(cfg Config) *Core {
+	return &Core{Config: cfg, Roster: roster.New(cfg.Self, cfg.DataCentre), hints: make(map[flow.ID]*hint)}
+}
+
+// Take returns what is to be done and logged since the last call.
+func (c *Core) Take() ([]Action, []Decision) {
+	a, d := c.actions, c.decisions
+	c.actions, c.decisions = nil, nil
+	return a, d
+}
+
+// Sizes returns the number of hints and of waiting packets.
+func (c *Core) Sizes() (hints, waits int) { return len(c.hints), len(c.waiting) }
+
+func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) note(event string, pairs ...any) {
+	c.decisions = append(c.decisions, Decision{Event: event, Pairs: pairs})
+}
+
+func (c *Core) noteAlways(event string, pairs ...any) {
+	c.decisions = append(c.decisions, Decision{Event: event, Important: true, Pairs: pairs})
+}
+
+// Ready reports whether the balancer can route, and why not.
+func (c *Core) Ready(now instant.Instant) (ok bool, reason string) {
+	switch {
+	case c.stopping:
+		return false, "Stopping"
+	case c.Routes.Version() == 0:
+		return false, "NoConfiguration"
+	case !c.Roster.Loaded():
+		return false, "NoMembers"
+	}
+	agents := 0
+	for _, r := range c.Routes.Services() {
+		for _, m := range c.Roster.Group(r) {
+			agents++
+			if now.Sub(m.Heard) < isolatedAfter {
+				return true, ""
+			}
+		}
+	}
+	if agents == 0 {
+		return true, ""
+	}
+	return false, "NoAgentReports"
+}
+
+// Packet handles a packet of a caller.
+func (c *Core) Packet(now instant.Instant, b []byte) {
+	c.Counts.Packets++
+	p, ok := c.Codec.FromCaller(b)
+	if !ok {
+		c.Counts.Unreadable++
+		return
+	}
+	c.forward(now, p)
+}
+
+func (c *Core) forward(now instant.Instant, p flow.Packet) {
+	route, known := c.Routes.Lookup(p.Flow.Address)
+	switch {
+	case !known:
+		c.wait(now, p)
+	case route == nil:
+		c.unrouted(p)
+	default:
+		c.route(now, p, route)
+	}
+}
+
+// unrouted turns away a packet to an address without a route.
+func (c *Core) unrouted(p flow.Packet) {
+	if !p.Opens() {
+		c.Counts.Dropped++
+		return
+	}
+	c.Counts.Resets++
+	c.note("FlowReset", "Flow", p.Flow, "Reason", "NoRoute", "Version", c.Routes.Version())
+	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: c.Codec.Reset(p.Flow, 0)})
+}
+
+// route sends a packet to the flow's owner or to its home.
+func (c *Core) route(now instant.Instant, p flow.Packet, r *routes.Route) {
+	hash := p.Flow.Hash()
+	service := r.ServiceOf(hash)
+	m := &message.Carried{
+		Packet: p.Bytes, Service: service, Balancer: uint32(c.Self), DataCentre: c.DataCentre,
+		Priority: r.Priority, AimMillis: uint32(r.Aim / time.Millisecond),
+	}
+	if h := c.hints[p.Flow]; h != nil && !p.Opens() {
+		if owner := c.Roster.Member(h.owner); owner != nil && r.Serves(owner.Service) {
+			h.used = now
+			m.Service, m.Step = owner.Service, message.Step_StepOwner
+			c.Counts.ToOwner++
+			c.send(h.owner, m)
+			return
+		}
+		delete(c.hints, p.Flow)
+	}
+	home, ok := c.Roster.Home(now, service, c.DataCentre, hash)
+	if !ok {
+		c.noAgent(now, p, service)
+		return
+	}
+	m.Step = message.Step_StepHome
+	c.Counts.ToHome++
+	c.note("PacketToHome", "Flow", p.Flow, "Home", home, "Service", service, "Opens", p.Opens(), "Version", c.Routes.Version())
+	c.send(home, m)
+}
+
+// noAgent handles a packet to a service without agents.
+func (c *Core) noAgent(now instant.Instant, p flow.Packet, service string) {
+	if !c.Roster.Loaded() || !p.Opens() {
+		c.wait(now, p)
+		return
+	}
+	c.Counts.Resets++
+	c.note("FlowReset", "Flow", p.Flow, "Reason", "NoAgent", "Service", service, "Version", c.Routes.Version())
+	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: c.Codec.Reset(p.Flow, 0)})
+}
+
+func (c *Core) send(to flow.IP, m *message.Carried) {
+	c.do(Action{Kind: Send, To: to, Message: &message.Envelope{Body: &message.Envelope_Carried{Carried: m}}})
+}
+
+// wait keeps a packet until there is a configuration and an agent.
+func (c *Core) wait(now instant.Instant, p flow.Packet) {
+	if len(c.waiting) >= maxWaiting {
+		c.Counts.Dropped++
+		return
+	}
+	c.Counts.Waited++
+	c.waiting = append(c.waiting, waiting{now, bytes.Clone(p.Bytes)})
+}
+
+// retry forwards what waited, as far as it is not too old.
+func (c *Core) retry(now instant.Instant) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	queue := c.waiting
+	c.waiting = nil
+	for _, w := range queue {
+		p, ok := c.Codec.FromCaller(w.bytes)
+		if !ok || now.Sub(w.at) > keepWaiting {
+			c.Counts.Dropped++
+			continue
+		}
+		before := len(c.waiting)
+		c.forward(now, p)
+		if len(c.waiting) > before {
+			c.waiting[before].at = w.at
+		}
+	}
+}
+
+// Message handles a message of another process.
+func (c *Core) Message(now instant.Instant, from flow.IP, e *message.Envelope) {
+	switch b := e.Body.(type) {
+	case *message.Envelope_Hint:
+		c.hinted(now, b.Hint)
+	case *message.Envelope_Report:
+		c.reported(now, from, b.Report.GetRecord())
+	}
+}
+
+func (c *Core) hinted(now instant.Instant, m *message.Hint) {
+	c.Counts.Hints++
+	id := m.GetFlow().ID()
+	h := c.hints[id]
+	switch {
+	case m.Owner == 0:
+		delete(c.hints, id)
+	case h != nil:
+		h.owner, h.used = flow.IP(m.Owner), now
+	case len(c.hints) < maxHints:
+		c.hints[id] = &hint{flow.IP(m.Owner), now}
+	}
+}
+
+func (c *Core) reported(now instant.Instant, from flow.IP, r *message.Record) {
+	if r == nil || flow.IP(r.Instance) != from || from == c.Self {
+		return
+	}
+	if !c.Roster.Report(now, r) {
+		return
+	}
+	if r.Service == "" && routes.Version(r.Version) > c.Routes.Version() {
+		c.do(Action{Kind: Refresh, To: from})
+	}
+	c.rosterChanged(now)
+}
+
+// rosterChanged tells new members of the balancer and forwards what waited.
+func (c *Core) rosterChanged(now instant.Instant) {
+	if c.changes == c.Roster.Changes {
+		return
+	}
+	c.changes = c.Roster.Changes
+	c.reportAt = min(c.reportAt, now)
+	c.retry(now)
+}
+
+// Stored takes in all entries of the store.
+func (c *Core) Stored(now instant.Instant, recs []*message.Record) {
+	first := !c.Roster.Loaded()
+	c.Roster.Stored(now, recs)
+	if first {
+		c.noteAlways("MembersLoaded", "Members", c.Roster.Size())
+		c.changes--
+	}
+	c.rosterChanged(now)
+}
+
+// Configure puts a configuration in force unless it is older than the present one.
+func (c *Core) Configure(now instant.Instant, cfg *routes.Configuration, source string) {
+	before := c.Routes.Version()
+	if !c.Routes.Apply(cfg) {
+		if cfg.Version < before {
+			c.note("ConfigurationOutdated", "Version", cfg.Version, "InForce", before, "Source", source)
+		}
+		return
+	}
+	c.noteAlways("ConfigurationApplied", "Version", cfg.Version, "Before", before, "Routes", len(cfg.Routes), "Source", source)
+	c.reportAt = min(c.reportAt, now)
+	c.retry(now)
+}
+
+// Stop announces that the process ends.
+func (c *Core) Stop(now instant.Instant) {
+	c.stopping = true
+	c.reportAt = now
+}
+
+// Record returns what the balancer announces.
+func (c *Core) Record() *message.Record {
+	s := message.State_StateReady
+	if c.stopping {
+		s = message.State_StateRestarting
+	}
+	return &message.Record{
+		Instance: uint32(c.Self), DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence, State: s,
+		Version: int64(c.Routes.Version()),
+	}
+}
+
+// Tick does what is due.
+func (c *Core) Tick(now instant.Instant) {
+	c.retry(now)
+	if now >= c.expireAt {
+		c.expireAt = now.Add(expireEvery)
+		c.expire(now)
+	}
+	if now < c.reportAt {
+		return
+	}
+	c.reportAt = now.Add(reportEvery)
+	c.sequence++
+	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record()}}}
+	c.Roster.All(func(m *roster.Member) {
+		if m.ID() != c.Self {
+			c.do(Action{Kind: Send, To: m.ID(), Message: e})
+		}
+	})
+}
+
+func (c *Core) expire(now instant.Instant) {
+	for id, h := range c.hints {
+		if now.Sub(h.used) > keepHint {
+			delete(c.hints, id)
+		}
+	}
+	for _, m := range c.Roster.Expire(now) {
+		c.noteAlways("MemberForgotten", "Member", m.ID(), "Service", m.Service)
+	}
+	c.rosterChanged(now)
+}
--- /dev/null
+++ b/internal/relay/load/load.go
@@ -0,0 +1,122 @@
+// Package load chooses the upstream of a new flow by least expected wait.
+//
+// It answers demand that swings within seconds on upstreams with few slots, where
+// one upstream has a queue while its neighbour is idle, and flows that stay open
+// for many requests, which pin their demand to an upstream once and for all. Every
+// agent of a service knows its peers' requests in progress from their reports; what
+// it has placed since a peer's last report is added, so that a burst between two
+// reports is not sent to one peer.
+//
+// # Usage
+//
+//	b := load.New()
+//	b.Update(peer, load.Signal{Slots: 4, Busy: 2, Idle: 30})
+//	at, ok := b.Choose(candidates)
+//	b.Place(at)
+//
+// The package does no input or output. A Board must not be shared without a lock.
+package load
+
+import (
+	"github.com/jaytack/jaytack/internal/relay/flow"
+)
+
+// Costs of a candidate beside its requests in progress, in requests.
+const (
+	// idleCost is what an open flow without a request adds: the share of its time
+	// in which such a flow has a request in progress.
+	idleCost = 0.04
+	// farCost is what another data centre adds: two crossings of some milliseconds
+	// against a request of some tens.
+	farCost = 0.3
+	// coldFactor is how much longer requests take at an upstream that has just started.
+	coldFactor = 1.6
+	// usualSlots stands in where an upstream has not said how many it has.
+	usualSlots = 4
+)
+
+// Signal is what an agent says about its upstream's load.
+type Signal struct {
+	// Slots is the number of requests that run at a time, 0 if unknown.
+	Slots int
+	// Busy is the number of flows with a request in progress.
+	Busy int
+	// Idle is the number of open flows without one.
+	Idle int
+	Cold bool
+}
+
+type entry struct {
+	Signal
+	// placed counts the flows placed since the signal.
+	placed int
+}
+
+// Candidate is an agent that may take a new flow.
+type Candidate struct {
+	Agent flow.IP
+	// Far is set where the agent is in another data centre than the caller's.
+	Far bool
+}
+
+// Board is what one agent knows about its group's load.
+type Board struct {
+	entries map[flow.IP]*entry
+}
+
+// New returns a board that knows nothing.
+func New() *Board {
+	return &Board{entries: make(map[flow.IP]*entry)}
+}
+
+func (b *Board) of(a flow.IP) *entry {
+	e := b.entries[a]
+	if e == nil {
+		e = &entry{}
+		b.entries[a] = e
+	}
+	return e
+}
+
+// Update takes in an agent's signal.
+func (b *Board) Update(a flow.IP, s Signal) {
+	e := b.of(a)
+	e.Signal, e.placed = s, 0
+}
+
+// Forget drops an agent.
+func (b *Board) Forget(a flow.IP) { delete(b.entries, a) }
+
+// Place counts a flow that was placed at an agent.
+func (b *Board) Place(a flow.IP) { b.of(a).placed++ }
+
+// Cost returns the expected wait at an agent, in units of the time that its
+// upstream takes for one request.
+func (b *Board) Cost(c Candidate) float64 {
+	e := b.of(c.Agent)
+	slots := e.Slots
+	if slots == 0 {
+		slots = usualSlots
+	}
+	n := float64(e.Busy+e.placed) + idleCost*float64(e.Idle)
+	if c.Far {
+		n += farCost
+	}
+	cost := n / float64(slots)
+	if e.Cold {
+		cost = (cost + 1/float64(slots)) * coldFactor
+	}
+	return cost
+}
+
+// Choose returns the candidate with the least cost, the first of equals; ok is
+// false where there is none.
+func (b *Board) Choose(candidates []Candidate) (a flow.IP, ok bool) {
+	best := 0.0
+	for _, c := range candidates {
+		if cost := b.Cost(c); !ok || cost < best {
+			a, best, ok = c.Agent, cost, true
+		}
+	}
+	return a, ok
+}
--- /dev/null
+++ b/internal/relay/message/message.go
@@ -0,0 +1,33 @@
+// Package message holds the messages that balancers and agents exchange about
+// relayed flows.
+//
+// Each is one datagram that holds one Envelope. All of them may be lost,
+// doubled or late. The Go code is generated from message.proto and committed, so
+// that a build needs no generator.
+//
+// # Usage
+//
+// Regenerate after a change of message.proto:
+//
+//	go generate ./internal/relay/message
+package message
+
+//go:generate protoc --go_out=paths=source_relative:. message.proto
+
+import "github.com/jaytack/jaytack/internal/relay/flow"
+
+// FlowOf returns the message's form of a flow's name.
+func FlowOf(id flow.ID) *Flow {
+	return &Flow{
+		CallerIP: uint32(id.Caller.IP), CallerPort: uint32(id.Caller.Port),
+		AddressIP: uint32(id.Address.IP), AddressPort: uint32(id.Address.Port),
+	}
+}
+
+// ID returns the name of the flow.
+func (f *Flow) ID() flow.ID {
+	return flow.ID{
+		Caller:  flow.Endpoint{IP: flow.IP(f.GetCallerIP()), Port: uint16(f.GetCallerPort())},
+		Address: flow.Endpoint{IP: flow.IP(f.GetAddressIP()), Port: uint16(f.GetAddressPort())},
+	}
+}
--- /dev/null
+++ b/internal/relay/ownership/ownership.go
@@ -0,0 +1,224 @@
+// Package ownership keeps what an agent knows about the flows at its own upstream.
+//
+// The upstream alone decides which flows it holds: a packet that it does not take
+// comes back bounced. The table is what the agent has seen of it, from the
+// packets of both ends: which flows were offered and which are open, which have a
+// request in progress, and what a reset to the caller needs. A new process begins
+// with an empty table and fills it from packets.
+//
+// # Usage
+//
+//	t := ownership.New()
+//	f := t.Offer(now, packet)
+//	f = t.FromCaller(now, packet)
+//	f = t.FromUpstream(now, packet)
+//	busy, idle := t.Load()
+//
+// The package does no input or output. A Table must not be shared without a lock.
+package ownership
+
+import (
+	"time"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+)
+
+// Phase is how far a flow has come.
+type Phase uint8
+
+// Phases.
+const (
+	// Unsure: a packet was delivered, the upstream has not shown that it holds the flow.
+	Unsure Phase = iota
+	// Offered: the first packet was delivered.
+	Offered
+	// Accepted: the upstream accepted the flow, the caller has not confirmed it.
+	Accepted
+	// Open: the upstream holds the flow.
+	Open
+)
+
+// Bounds of the table.
+const (
+	// KeepOpen is how long an open flow without packets is remembered, which is
+	// longer than upstreams keep one; a flow that is forgotten too early is found
+	// again by its next packet.
+	KeepOpen = 30 * time.Second
+	// KeepOpening is how long a flow is remembered that has not opened: longer
+	// than callers try to open one.
+	KeepOpening = 3 * time.Second
+	// keepEnded is how long a flow is remembered that both ends have finished.
+	keepEnded = time.Second
+	// MaxFlows bounds the table.
+	MaxFlows = 1 << 16
+	// sequenceWindow is how far the acknowledged position of an open flow may be
+	// from the one that the upstream began with.
+	sequenceWindow = 1 << 26
+)
+
+// Flow is one flow.
+type Flow struct {
+	ID    flow.ID
+	Phase Phase
+	// Began is when the first packet was seen, Used when the last was.
+	Began, Used instant.Instant
+	// Balancer is where the caller's last packet came from, Home the agent that was
+	// told of the owner, DataCentre the balancer's.
+	Balancer, Home flow.IP
+	DataCentre     string
+	// LastAck is the acknowledgement in the caller's last packet.
+	LastAck uint32
+	// Asker is the agent that wants to know whether the upstream holds the flow, 0 for none.
+	Asker flow.IP
+
+	accepted         uint32
+	isAccepted       bool
+	busy             bool
+	callerEnd, ended bool
+	// Requests counts the requests seen.
+	Requests int
+}
+
+// Busy reports whether a request is in progress.
+func (f *Flow) Busy() bool { return f.busy }
+
+// Table is the flows of one upstream.
+type Table struct {
+	flows map[flow.ID]*Flow
+	busy  int
+	open  int
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{flows: make(map[flow.ID]*Flow)} }
+
+// Get returns a flow, nil where it is not known.
+func (t *Table) Get(id flow.ID) *Flow { return t.flows[id] }
+
+// Len returns the number of flows.
+func (t *Table) Len() int { return len(t.flows) }
+
+// Load returns the number of open flows with a request in progress and without.
+func (t *Table) Load() (busy, idle int) { return t.busy, max(t.open-t.busy, 0) }
+
+// All calls f for every flow; f may drop it.
+func (t *Table) All(f func(*Flow)) {
+	for _, x := range t.flows {
+		f(x)
+	}
+}
+
+func (t *Table) get(now instant.Instant, id flow.ID, p Phase) *Flow {
+	f := t.flows[id]
+	if f == nil {
+		f = &Flow{ID: id, Began: now}
+		if len(t.flows) < MaxFlows {
+			t.flows[id] = f
+		}
+	}
+	f.Used = now
+	t.advance(f, p)
+	return f
+}
+
+func (t *Table) advance(f *Flow, p Phase) {
+	if f.Phase >= p {
+		return
+	}
+	if p == Open && t.flows[f.ID] == f {
+		t.open++
+	}
+	f.Phase = p
+}
+
+// Drop forgets a flow.
+func (t *Table) Drop(f *Flow) {
+	if t.flows[f.ID] != f {
+		return
+	}
+	delete(t.flows, f.ID)
+	t.setBusy(f, false)
+	if f.Phase == Open {
+		t.open--
+	}
+}
+
+func (t *Table) setBusy(f *Flow, busy bool) {
+	if f.busy == busy {
+		return
+	}
+	f.busy = busy
+	if busy {
+		t.busy++
+	} else {
+		t.busy--
+	}
+}
+
+// Offer notes that the first packet of a flow is delivered.
+func (t *Table) Offer(now instant.Instant, p flow.Packet) *Flow {
+	return t.get(now, p.Flow, Offered)
+}
+
+// Foreign reports whether the packet belongs to a flow that opened at another
+// upstream, though it was offered to this one too.
+func (f *Flow) Foreign(p flow.Packet) bool {
+	return f.Phase < Open && f.isAccepted && p.Flags.Has(flow.Ack) && p.AckSeq-f.accepted > sequenceWindow
+}
+
+// FromCaller notes that a packet of the caller is delivered, which is not the first.
+func (t *Table) FromCaller(now instant.Instant, p flow.Packet) *Flow {
+	f := t.get(now, p.Flow, Unsure)
+	f.LastAck = p.AckSeq
+	if f.Phase == Accepted {
+		t.advance(f, Open)
+	}
+	if p.Len > 0 && !f.busy && t.flows[f.ID] == f && f.Phase == Open {
+		f.Requests++
+		t.setBusy(f, true)
+	}
+	if p.Flags.Has(flow.Fin) {
+		f.callerEnd = true
+	}
+	return f
+}
+
+// FromUpstream notes a packet of the upstream, which shows that it holds the flow,
+// and reports whether the flow was not known to be held before.
+func (t *Table) FromUpstream(now instant.Instant, p flow.Packet) (f *Flow, found bool) {
+	f = t.flows[p.Flow]
+	found = f == nil || f.Phase < Accepted
+	if p.Flags.Has(flow.Syn) {
+		f = t.get(now, p.Flow, Accepted)
+		f.accepted, f.isAccepted = p.Seq, true
+		return f, found
+	}
+	f = t.get(now, p.Flow, Open)
+	if p.Len > 0 {
+		t.setBusy(f, false)
+	}
+	switch {
+	case p.Flags.Has(flow.Rst):
+		t.Drop(f)
+	case p.Flags.Has(flow.Fin):
+		f.ended = true
+	}
+	return f, found
+}
+
+// Expire forgets flows that were not used for long.
+func (t *Table) Expire(now instant.Instant) {
+	for _, f := range t.flows {
+		keep := KeepOpen
+		switch {
+		case f.ended && f.callerEnd:
+			keep = keepEnded
+		case f.Phase < Open:
+			keep = KeepOpening
+		}
+		if now.Sub(f.Used) > keep {
+			t.Drop(f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/routes/routes.go
@@ -0,0 +1,138 @@
+// Package routes keeps the configuration of relayed flows: which service each
+// address belongs to.
+//
+// Versions only go up within one process. What the process was told is kept whole,
+// so that it can be passed on to others.
+//
+// # Usage
+//
+//	var b routes.Book
+//	changed := b.Apply(cfg)
+//	route, known := b.Lookup(id.Address)
+//	service := route.ServiceOf(id.Hash())
+//
+// The package does no input or output. A Book must not be shared without a lock.
+package routes
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jaytack/jaytack/internal/relay/flow"
+)
+
+// Version orders configurations; it increases in uneven steps. 0 is none.
+type Version int64
+
+// Kind says what may be repeated.
+type Kind string
+
+// Kinds of requests.
+const (
+	// Safe requests are idempotent.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "unsafe"
+	// Upload requests run at most once and carry much data.
+	Upload Kind = "upload"
+)
+
+// Share is a service's share of a route's new flows.
+type Share struct {
+	Service string
+	Weight  uint32
+}
+
+// Route is one address and what is served there.
+type Route struct {
+	Name    string
+	Address flow.Endpoint
+	// Shares lists the services that take new flows, at least one.
+	Shares []Share
+	Kind   Kind
+	// Priority of the requests, 0 is the highest.
+	Priority uint32
+	// Timeout is the deadline of a request, Aim the time in which it should be answered.
+	Timeout, Aim time.Duration
+}
+
+// ServiceOf returns the service that takes a new flow with this hash.
+func (r *Route) ServiceOf(hash uint64) string {
+	var total uint64
+	for _, s := range r.Shares {
+		total += uint64(s.Weight)
+	}
+	if total == 0 {
+		return r.Shares[0].Service
+	}
+	at := hash % total
+	for _, s := range r.Shares {
+		if at < uint64(s.Weight) {
+			return s.Service
+		}
+		at -= uint64(s.Weight)
+	}
+	return r.Shares[0].Service
+}
+
+// Serves reports whether the route names a service.
+func (r *Route) Serves(service string) bool {
+	for _, s := range r.Shares {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Configuration is one version of all routes.
+type Configuration struct {
+	Version Version
+	Routes  []Route
+	// Idle is how long a flow without packets is kept.
+	Idle time.Duration
+}
+
+// Book is the configuration in force.
+type Book struct {
+	version Version
+	routes  map[flow.Endpoint]*Route
+	idle    time.Duration
+	// services lists the services that routes name.
+	services []string
+}
+
+// Version returns the version in force, 0 for none.
+func (b *Book) Version() Version { return b.version }
+
+// Len returns the number of addresses.
+func (b *Book) Len() int { return len(b.routes) }
+
+// Services lists the services that routes name, in order. It must not be changed.
+func (b *Book) Services() []string { return b.services }
+
+// Apply puts a configuration in force unless it is older than what is, and
+// reports whether it did.
+func (b *Book) Apply(c *Configuration) bool {
+	if c.Version <= b.version {
+		return false
+	}
+	b.version, b.idle = c.Version, c.Idle
+	b.routes = make(map[flow.Endpoint]*Route, len(c.Routes))
+	services := make(map[string]bool)
+	for i := range c.Routes {
+		b.routes[c.Routes[i].Address] = &c.Routes[i]
+		for _, s := range c.Routes[i].Shares {
+			services[s.Service] = true
+		}
+	}
+	b.services = slices.Sorted(maps.Keys(services))
+	return true
+}
+
+// Lookup returns the route of an address, nil where there is none. known is false
+// where no configuration is in force.
+func (b *Book) Lookup(a flow.Endpoint) (r *Route, known bool) {
+	return b.routes[a], b.version != 0
+}
--- /dev/null
+++ b/internal/relay/serving/owner.go
@@ -0,0 +1,374 @@
+package serving
+
+import (
+	"bytes"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/ownership"
+	"github.com/jaytack/jaytack/internal/relay/roster"
+)
+
+// offer delivers the first packet of a flow that was placed here.
+func (c *Core) offer(now instant.Instant, p flow.Packet, m *message.Carried) {
+	if !p.Opens() {
+		c.asOwner(now, p, m)
+		return
+	}
+	if c.closedForNew() {
+		c.passOn(now, p, m)
+		return
+	}
+	f := c.table.Offer(now, p)
+	c.via(f, m)
+	c.await(now, &c.up.openingSince, &c.up.owesOpening)
+	c.deliver(now, c.Self, m, p)
+}
+
+// closedForNew reports whether the upstream takes no new flows.
+func (c *Core) closedForNew() bool {
+	return c.state == message.State_StateDraining || c.state == message.State_StateGone || c.state == message.State_StateRestarting
+}
+
+// passOn has another agent chosen for a new flow that the upstream does not take.
+func (c *Core) passOn(now instant.Instant, p flow.Packet, m *message.Carried) {
+	c.Counts.Redirected++
+	m.Excluded = append(m.Excluded, uint32(c.Self))
+	c.place(now, p, m)
+}
+
+func (c *Core) via(f *ownership.Flow, m *message.Carried) {
+	f.Balancer, f.DataCentre = flow.IP(m.Balancer), m.DataCentre
+}
+
+// asOwner delivers a packet of a flow that is taken to be open here.
+func (c *Core) asOwner(now instant.Instant, p flow.Packet, m *message.Carried) {
+	if p.Opens() {
+		c.offer(now, p, m)
+		return
+	}
+	f := c.table.Get(p.Flow)
+	if f != nil && f.Foreign(p) {
+		c.table.Drop(f)
+		c.giveBack(now, p, m)
+		return
+	}
+	if c.state == message.State_StateGone {
+		c.giveBack(now, p, m)
+		return
+	}
+	if f != nil && f.Phase >= ownership.Accepted && (m.ByHome || f.Balancer != flow.IP(m.Balancer)) {
+		c.hint(p.Flow, flow.IP(m.Balancer), c.Self)
+	}
+	c.pass(now, p, m, 0)
+}
+
+// pass delivers a packet that does not open a flow.
+func (c *Core) pass(now instant.Instant, p flow.Packet, m *message.Carried, asker flow.IP) {
+	f := c.table.FromCaller(now, p)
+	c.via(f, m)
+	if asker != 0 {
+		f.Asker = asker
+	}
+	if p.Len > 0 {
+		c.await(now, &c.up.dataSince, &c.up.owesData)
+	}
+	c.deliver(now, c.Self, m, p)
+}
+
+// await notes that the upstream owes an answer.
+func (c *Core) await(now instant.Instant, since *instant.Instant, owes *bool) {
+	if !*owes {
+		*since, *owes = now, true
+	}
+}
+
+// deliver hands a packet to the upstream, and keeps it while the upstream may not
+// be listening yet.
+func (c *Core) deliver(now instant.Instant, from flow.IP, m *message.Carried, p flow.Packet) {
+	c.Counts.Delivered++
+	c.do(Action{Kind: Deliver, Flow: p.Flow, Bytes: m.Packet})
+	if c.state == message.State_StateUnknown || c.state == message.State_StateSilent {
+		c.wait(now, from, m)
+	}
+}
+
+func (c *Core) wait(now instant.Instant, from flow.IP, m *message.Carried) {
+	if len(c.waiting) >= maxWaiting {
+		c.Counts.Overflowed++
+		return
+	}
+	c.waiting = append(c.waiting, waiting{now, m, from})
+}
+
+// probed finds out whether the upstream holds a flow.
+func (c *Core) probed(now instant.Instant, from flow.IP, p flow.Packet, m *message.Carried) {
+	f := c.table.Get(p.Flow)
+	if c.state == message.State_StateGone || f != nil && f.Foreign(p) {
+		c.deny(now, from, p.Flow)
+		return
+	}
+	if f != nil && f.Phase >= ownership.Accepted {
+		c.answer(now, f, from)
+		c.asOwner(now, p, m)
+		return
+	}
+	c.pass(now, p, m, from)
+}
+
+// answer claims a flow at the agent that asked.
+func (c *Core) answer(now instant.Instant, f *ownership.Flow, asker flow.IP) {
+	if asker == c.Self {
+		c.claimed(now, c.Self, f.ID)
+		f.Home = c.Self
+		return
+	}
+	c.claim(f, asker)
+}
+
+func (c *Core) deny(now instant.Instant, asker flow.IP, id flow.ID) {
+	if asker == c.Self {
+		c.denied(now, c.Self, id)
+		return
+	}
+	c.send(asker, &message.Envelope{Body: &message.Envelope_Denial{Denial: &message.Denial{Flow: message.FlowOf(id)}}})
+}
+
+// giveBack returns a packet to the flow's home: the upstream does not hold the flow.
+func (c *Core) giveBack(now instant.Instant, p flow.Packet, m *message.Carried) {
+	c.hint(p.Flow, flow.IP(m.Balancer), 0)
+	home, ok := c.Roster.Home(now, c.Service, m.DataCentre, p.Flow.Hash())
+	if !ok {
+		home = c.Self
+	}
+	c.carry(now, home, m, message.Step_StepReturn)
+}
+
+// Upstream handles a packet that the upstream sent.
+func (c *Core) Upstream(now instant.Instant, b []byte) {
+	p, ok := c.Codec.FromUpstream(b)
+	if !ok {
+		c.Counts.Unreadable++
+		return
+	}
+	c.alive(now)
+	if p.Flags.Has(flow.Bounced) {
+		c.bounced(now, p)
+		return
+	}
+	f, found := c.table.FromUpstream(now, p)
+	c.Counts.Replied++
+	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: p.Bytes})
+	if found {
+		c.opened(now, f, p)
+	}
+}
+
+// opened tells who needs to know that the upstream holds a flow.
+func (c *Core) opened(now instant.Instant, f *ownership.Flow, p flow.Packet) {
+	if f.DataCentre == "" {
+		f.DataCentre = c.DataCentre
+	}
+	if f.Asker != 0 {
+		c.answer(now, f, f.Asker)
+		f.Asker = 0
+	}
+	c.hint(f.ID, f.Balancer, c.Self)
+	home, ok := c.Roster.Home(now, c.Service, f.DataCentre, f.ID.Hash())
+	if ok && !p.Flags.Has(flow.Syn) && home != f.Home {
+		c.claim(f, home)
+	}
+	f.Home = home
+}
+
+// bounced handles a caller's packet that the upstream did not take.
+func (c *Core) bounced(now instant.Instant, p flow.Packet) {
+	c.Counts.Bounced++
+	// The packet outlives the buffer that it was read into.
+	p.Bytes = bytes.Clone(p.Bytes)
+	c.Codec.Unbounce(p.Bytes)
+	p.Flags &^= flow.Bounced
+	f := c.table.Get(p.Flow)
+	m := &message.Carried{Packet: p.Bytes, Service: c.Service, DataCentre: c.DataCentre}
+	if f != nil {
+		m.Balancer, m.DataCentre = uint32(f.Balancer), f.DataCentre
+	}
+	switch {
+	case p.Opens():
+		if f != nil {
+			c.table.Drop(f)
+		}
+		c.note("FirstPacketBounced", "Flow", p.Flow)
+		c.passOn(now, p, m)
+	case f != nil && f.Phase == ownership.Open:
+		c.table.Drop(f)
+		c.hint(p.Flow, f.Balancer, 0)
+		c.reset(p.Flow, p.AckSeq, "UpstreamLostFlow", "Age", now.Sub(f.Began), "Requests", f.Requests)
+	case f != nil && f.Asker != 0:
+		asker := f.Asker
+		c.table.Drop(f)
+		c.deny(now, asker, p.Flow)
+	default:
+		if f != nil {
+			c.table.Drop(f)
+		}
+		c.giveBack(now, p, m)
+	}
+}
+
+// Heartbeat takes in what the upstream says about itself and reports whether it
+// was news.
+func (c *Core) Heartbeat(now instant.Instant, h Heartbeat) bool {
+	if h.Service != c.Service {
+		c.noteAlways("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service)
+		return false
+	}
+	old := c.up.Heartbeat
+	if c.up.known && (h.Born < old.Born || h.Born == old.Born && h.Sequence <= old.Sequence) {
+		c.note("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "KnownBorn", old.Born, "KnownSequence", old.Sequence)
+		return false
+	}
+	replaced := c.up.known && h.Born > old.Born
+	c.up.Heartbeat, c.up.known = h, true
+	c.up.beat = now
+	c.up.gone = false
+	c.up.coldUntil = now.Add(h.ColdFor)
+	if replaced {
+		c.noteAlways("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Before", old.Upstream, "BornBefore", old.Born)
+		c.endFlows(now, "UpstreamReplaced")
+	}
+	c.alive(now)
+	c.announce(now)
+	return true
+}
+
+// endFlows resets all flows of an upstream that is no more.
+func (c *Core) endFlows(now instant.Instant, reason string) {
+	c.table.All(func(f *ownership.Flow) {
+		if f.Phase == ownership.Open && f.LastAck != 0 {
+			c.hint(f.ID, f.Balancer, 0)
+			c.reset(f.ID, f.LastAck, reason)
+		}
+		c.table.Drop(f)
+	})
+}
+
+// Leave takes in that the upstream has left.
+func (c *Core) Leave(now instant.Instant, id string) {
+	if c.up.known && id != c.up.Upstream {
+		c.note("LeaveLate", "Upstream", id, "Known", c.up.Upstream)
+		return
+	}
+	c.up.gone = true
+	c.announce(now)
+	c.endFlows(now, "UpstreamLeft")
+}
+
+// Stop announces that the process ends.
+func (c *Core) Stop(now instant.Instant) {
+	c.stopping = true
+	c.announce(now)
+}
+
+// alive notes that the upstream was heard, and delivers again what it may have missed.
+func (c *Core) alive(now instant.Instant) {
+	c.up.heard = now
+	c.up.owesOpening, c.up.owesData = false, false
+	missed := c.state == message.State_StateUnknown || c.state == message.State_StateSilent
+	if !missed {
+		return
+	}
+	c.announce(now)
+	queue := c.waiting
+	c.waiting = nil
+	for _, w := range queue {
+		if now.Sub(w.at) < keepWaiting {
+			c.do(Action{Kind: Deliver, Bytes: w.carried.Packet})
+		}
+	}
+}
+
+// stateNow returns the state to announce.
+func (c *Core) stateNow(now instant.Instant) message.State {
+	switch {
+	case c.up.gone:
+		return message.State_StateGone
+	case c.stopping:
+		return message.State_StateRestarting
+	case c.up.Draining:
+		return message.State_StateDraining
+	case c.up.owesOpening && now.Sub(c.up.openingSince) > silentAfterOpening,
+		c.up.owesData && now.Sub(c.up.dataSince) > silentAfterData:
+		if c.state == message.State_StateUnknown {
+			return c.state
+		}
+		return message.State_StateSilent
+	case c.up.heard == 0:
+		return message.State_StateUnknown
+	}
+	return message.State_StateReady
+}
+
+// announce changes the own state if need be and has others told at once.
+func (c *Core) announce(now instant.Instant) {
+	s := c.stateNow(now)
+	if s == c.state {
+		return
+	}
+	c.noteAlways("UpstreamStateChanged", "State", s, "Before", c.state, "Upstream", c.up.Upstream, "Born", c.up.Born,
+		"Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
+	c.state = s
+	c.groupAt, c.balancersAt = now, now
+	c.rehoming = true
+}
+
+// Record returns what the agent announces.
+func (c *Core) Record(now instant.Instant) *message.Record {
+	busy, idle := c.table.Load()
+	return &message.Record{
+		Instance: uint32(c.Self), Service: c.Service, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence,
+		State: c.state, Upstream: c.up.Upstream, UpstreamBorn: c.up.Born, Slots: uint32(c.up.Slots),
+		Busy: uint32(busy), Idle: uint32(idle), Cold: c.up.coldUntil > now,
+	}
+}
+
+// Tick does what is due.
+func (c *Core) Tick(now instant.Instant) {
+	c.announce(now)
+	busy, idle := c.table.Load()
+	c.board.Update(c.Self, load.Signal{Slots: c.up.Slots, Busy: busy, Idle: idle, Cold: c.up.coldUntil > now})
+	if now >= c.expireAt {
+		c.expireAt = now.Add(expireEvery)
+		c.expire(now)
+	}
+	c.rehome(now)
+	c.report(now)
+}
+
+// report tells peers and balancers about the agent.
+func (c *Core) report(now instant.Instant) {
+	group, balancers := now >= c.groupAt, now >= c.balancersAt
+	if !group && !balancers {
+		return
+	}
+	c.sequence++
+	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record(now)}}}
+	if group {
+		c.groupAt = now.Add(reportGroupEvery)
+		c.reportTo(e, c.Roster.Group(c.Service))
+	}
+	if balancers {
+		c.balancersAt = now.Add(reportBalancersEvery)
+		c.reportTo(e, c.Roster.Balancers())
+	}
+}
+
+func (c *Core) reportTo(e *message.Envelope, members []*roster.Member) {
+	for _, m := range members {
+		if m.ID() != c.Self {
+			c.send(m.ID(), e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/serving/serving.go
@@ -0,0 +1,281 @@
+// Package serving decides what an agent does with relayed flows.
+//
+// An agent has two parts to play. As the owner of a flow it delivers the caller's
+// packets to its upstream and the upstream's to the caller. As the home of a flow
+// it chooses the upstream of a new flow and finds the owner of one that is open,
+// see package directory.
+//
+// A reset goes to a caller only on proof: the upstream bounced a packet of a flow
+// that had opened there, a later incarnation has taken the upstream's place, or all
+// agents of the service have denied the flow. Without proof the agent is silent,
+// and the caller's next packet tries again.
+//
+// # Usage
+//
+//	c := serving.New(cfg)
+//	c.Message(now, from, envelope)
+//	c.Upstream(now, bytes)
+//	c.Heartbeat(now, heartbeat)
+//	c.Tick(now)
+//	for _, a := range c.Take() {
+//		do(a)
+//	}
+//
+// The package does no input or output. A Core must not be shared without a lock.
+package serving
+
+import (
+	"time"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/directory"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/ownership"
+	"github.com/jaytack/jaytack/internal/relay/roster"
+)
+
+// Times and bounds of the protocol.
+const (
+	// TickEvery is how often Tick is called.
+	TickEvery = 50 * time.Millisecond
+	// reportGroupEvery is how often peers hear about load: a few requests' time.
+	reportGroupEvery = 50 * time.Millisecond
+	// reportBalancersEvery is how often balancers hear that the agent lives, twice
+	// within the silence after which they suspect it.
+	reportBalancersEvery = 200 * time.Millisecond
+	// expireEvery is how often tables are swept.
+	expireEvery = time.Second
+	// silentAfterOpening and silentAfterData are the time without any packet of the
+	// upstream after which it is taken for silent, while it owes an answer to a first
+	// packet or to data.
+	silentAfterOpening = 150 * time.Millisecond
+	silentAfterData    = 400 * time.Millisecond
+	// askAgainAfter is how long a search waits before agents are asked again that
+	// have not answered: longer than the way there and back between data centres.
+	askAgainAfter = 100 * time.Millisecond
+	// keepWaiting is how long packets wait for an upstream or for the roster: the
+	// time for which callers try to open a flow.
+	keepWaiting = 1400 * time.Millisecond
+	// maxWaiting bounds the packets that wait.
+	maxWaiting = 512
+	// maxPlacements bounds how often a new flow is passed on to another agent.
+	maxPlacements = 4
+	// claimsPerTick bounds the claims after a change of homes.
+	claimsPerTick = 200
+)
+
+// Config is what an agent knows from its settings.
+type Config struct {
+	Self        flow.IP
+	Service     string
+	DataCentre  string
+	Incarnation uint64
+	Codec       flow.Codec
+}
+
+// Heartbeat is what an upstream says about itself.
+type Heartbeat struct {
+	Upstream string
+	Service  string
+	// Born is the start of the upstream in Unix milliseconds, Sequence counts its
+	// heartbeats.
+	Born     int64
+	Sequence int64
+	Draining bool
+	Slots    int
+	// ColdFor is how much longer the upstream is slow after its start.
+	ColdFor time.Duration
+}
+
+// ActionKind says what is to be done.
+type ActionKind uint8
+
+// Actions.
+const (
+	// Send sends Message to the instance To.
+	Send ActionKind = iota + 1
+	// Deliver sends Bytes to the upstream.
+	Deliver
+	// Reply sends Bytes to the caller of Flow.
+	Reply
+)
+
+// Action is something that the process has to do.
+type Action struct {
+	Kind    ActionKind
+	To      flow.IP
+	Message *message.Envelope
+	Bytes   []byte
+	Flow    flow.ID
+}
+
+// Decision is a line for the log.
+type Decision struct {
+	Event string
+	// Important is set for lines that are never left out.
+	Important bool
+	Pairs     []any
+}
+
+// Counts counts decisions since the start.
+type Counts struct {
+	Delivered, Replied, Bounced, Placed, Redirected, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
+}
+
+// waiting is a packet that was delivered to an upstream that has not been heard since.
+type waiting struct {
+	at      instant.Instant
+	carried *message.Carried
+	from    flow.IP
+}
+
+// upstream is what the agent knows about its upstream.
+type upstream struct {
+	Heartbeat
+	known bool
+	// heard is when it last sent anything, beat when it last sent a heartbeat.
+	heard, beat instant.Instant
+	// openingSince and dataSince are when it was first owed an answer since then.
+	openingSince, dataSince instant.Instant
+	owesOpening, owesData   bool
+	coldUntil               instant.Instant
+	gone                    bool
+}
+
+// Core is the decisions of one agent.
+type Core struct {
+	Config
+	Roster *roster.Roster
+	Counts Counts
+
+	directory *directory.Directory
+	table     *ownership.Table
+	board     *load.Board
+	up        upstream
+	sequence  uint64
+	state     message.State
+	stopping  bool
+	waiting   []waiting
+
+	groupAt, balancersAt, expireAt instant.Instant
+	changes                        uint64
+	rehoming                       bool
+
+	actions   []Action
+	decisions []Decision
+}
+
+// New returns the core of an agent that has heard of nobody.
+func New(cfg Config) *Core {
+	c := &Core{
+		Config: cfg, Roster: roster.New(cfg.Self, cfg.DataCentre),
+		directory: directory.New(), table: ownership.New(), board: load.New(),
+	}
+	c.announce(0)
+	return c
+}
+
+// Take returns what is to be done and logged since the last call.
+func (c *Core) Take() ([]Action, []Decision) {
+	a, d := c.actions, c.decisions
+	c.actions, c.decisions = nil, nil
+	return a, d
+}
+
+// Sizes returns the number of flows, of requests in progress, of known owners and
+// of searches.
+func (c *Core) Sizes() (flows, busy, owners, searches int) {
+	busy, _ = c.table.Load()
+	owners, searches = c.directory.Sizes()
+	return c.table.Len(), busy, owners, searches
+}
+
+func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) note(event string, pairs ...any) {
+	c.decisions = append(c.decisions, Decision{Event: event, Pairs: pairs})
+}
+
+func (c *Core) noteAlways(event string, pairs ...any) {
+	c.decisions = append(c.decisions, Decision{Event: event, Important: true, Pairs: pairs})
+}
+
+func (c *Core) send(to flow.IP, e *message.Envelope) {
+	c.do(Action{Kind: Send, To: to, Message: e})
+}
+
+// carry sends a packet to an agent, which may be this one.
+func (c *Core) carry(now instant.Instant, to flow.IP, m *message.Carried, step message.Step) {
+	m.Step = step
+	if to == c.Self {
+		c.take(now, c.Self, m)
+		return
+	}
+	c.send(to, &message.Envelope{Body: &message.Envelope_Carried{Carried: m}})
+}
+
+// Message handles a message of another process.
+func (c *Core) Message(now instant.Instant, from flow.IP, e *message.Envelope) {
+	switch b := e.Body.(type) {
+	case *message.Envelope_Carried:
+		c.take(now, from, b.Carried)
+	case *message.Envelope_Claim:
+		c.claimed(now, from, b.Claim.GetFlow().ID())
+	case *message.Envelope_Denial:
+		c.denied(now, from, b.Denial.GetFlow().ID())
+	case *message.Envelope_Report:
+		c.reported(now, from, b.Report.GetRecord())
+	case *message.Envelope_Records:
+		for _, r := range b.Records.GetRecords() {
+			if flow.IP(r.Instance) != c.Self {
+				c.Roster.Relayed(now, r)
+			}
+		}
+	}
+}
+
+// take does what a step asks for.
+func (c *Core) take(now instant.Instant, from flow.IP, m *message.Carried) {
+	p, ok := c.Codec.FromCaller(m.Packet)
+	if !ok {
+		c.Counts.Unreadable++
+		return
+	}
+	if m.Service != c.Service {
+		// The instance's address belonged to an agent of another service before.
+		c.Counts.Misdirected++
+		c.note("PacketMisdirected", "Flow", p.Flow, "From", from, "Service", m.Service)
+		c.hint(p.Flow, flow.IP(m.Balancer), 0)
+		return
+	}
+	switch m.Step {
+	case message.Step_StepHome:
+		c.asHome(now, p, m)
+	case message.Step_StepPlace:
+		c.offer(now, p, m)
+	case message.Step_StepOwner:
+		c.asOwner(now, p, m)
+	case message.Step_StepProbe:
+		c.probed(now, from, p, m)
+	case message.Step_StepReturn:
+		c.returned(now, from, p, m)
+	}
+}
+
+func (c *Core) hint(id flow.ID, balancer, owner flow.IP) {
+	if balancer == 0 {
+		return
+	}
+	c.send(balancer, &message.Envelope{Body: &message.Envelope_Hint{Hint: &message.Hint{
+		Flow: message.FlowOf(id), Owner: uint32(owner),
+	}}})
+}
+
+// reset tells a caller that a flow has ended.
+func (c *Core) reset(id flow.ID, seq uint32, reason string, pairs ...any) {
+	c.Counts.Resets++
+	c.note("FlowReset", append([]any{"Flow", id, "Reason", reason}, pairs...)...)
+	c.do(Action{Kind: Reply, Flow: id, Bytes: c.Codec.Reset(id, seq)})
+}
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -24,8 +24,8 @@
 	"sort"
 	"time"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 type (
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/jaytack/jaytack/internal/platform/instant"
+	"github.com/jaytack/jaytack/internal/clock/instant"
 )
 
 var testKinds = []Kind{
--- a/internal/request/admission/estimate.go
+++ b/internal/request/admission/estimate.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/jaytack/jaytack/internal/platform/instant"
+	"github.com/jaytack/jaytack/internal/clock/instant"
 )
 
 const (
--- a/internal/request/admission/reconfigure.go
+++ b/internal/request/admission/reconfigure.go
@@ -1,8 +1,8 @@
 package admission
 
 import (
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // Reconfigure puts a changed contract in force. Kinds keep their index and what
--- a/internal/request/admission/shed.go
+++ b/internal/request/admission/shed.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/jaytack/jaytack/internal/platform/instant"
+	"github.com/jaytack/jaytack/internal/clock/instant"
 )
 
 // shed refuses waiting requests until each of the rest is expected to finish in
--- a/internal/request/handover/handover.go
+++ b/internal/request/handover/handover.go
@@ -22,8 +22,8 @@
 	"slices"
 	"time"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // Load is what a peer said about itself.
--- a/internal/request/handover/handover_test.go
+++ b/internal/request/handover/handover_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/jaytack/jaytack/internal/platform/instant"
+	"github.com/jaytack/jaytack/internal/clock/instant"
 )
 
 // The seed is fixed so that every run of the tests draws the same cases.
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -38,12 +38,12 @@
 	"github.com/jaytack/jaytack/internal/fleet/wire"
 	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/flow/placement"
-	"github.com/jaytack/jaytack/internal/platform/identity"
-	"github.com/jaytack/jaytack/internal/platform/journal"
-	"github.com/jaytack/jaytack/internal/platform/metrics"
-	"github.com/jaytack/jaytack/internal/platform/settings"
-	"github.com/jaytack/jaytack/internal/platform/sockets"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/identity"
+	"github.com/jaytack/jaytack/internal/process/journal"
+	"github.com/jaytack/jaytack/internal/process/metrics"
+	"github.com/jaytack/jaytack/internal/process/settings"
+	"github.com/jaytack/jaytack/internal/process/sockets"
+	"github.com/jaytack/jaytack/internal/process/store"
 )
 
 // Times and sizes of an agent.
--- a/internal/role/agent/conn.go
+++ b/internal/role/agent/conn.go
@@ -10,13 +10,13 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/flow/placement"
 	"github.com/jaytack/jaytack/internal/flow/routing"
 	"github.com/jaytack/jaytack/internal/flow/tunnel"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 const (
--- a/internal/role/agent/home.go
+++ b/internal/role/agent/home.go
@@ -13,7 +13,7 @@
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/request/ledger"
 	"github.com/jaytack/jaytack/internal/request/outcome"
 )
--- a/internal/role/agent/scheduler.go
+++ b/internal/role/agent/scheduler.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 	"github.com/jaytack/jaytack/internal/request/admission"
 	"github.com/jaytack/jaytack/internal/request/handover"
 )
--- a/internal/role/agent/upstream.go
+++ b/internal/role/agent/upstream.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jaytack/jaytack/internal/platform/metrics"
+	"github.com/jaytack/jaytack/internal/process/metrics"
 	"github.com/jaytack/jaytack/internal/request/outcome"
 )
 
--- a/internal/role/agent/upstream_test.go
+++ b/internal/role/agent/upstream_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/metrics"
+	"github.com/jaytack/jaytack/internal/process/metrics"
 	"github.com/jaytack/jaytack/internal/request/outcome"
 )
 
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -20,6 +20,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
@@ -29,13 +30,12 @@
 	"github.com/jaytack/jaytack/internal/flow/placement"
 	"github.com/jaytack/jaytack/internal/flow/routing"
 	"github.com/jaytack/jaytack/internal/flow/tunnel"
-	"github.com/jaytack/jaytack/internal/platform/identity"
-	"github.com/jaytack/jaytack/internal/platform/instant"
-	"github.com/jaytack/jaytack/internal/platform/journal"
-	"github.com/jaytack/jaytack/internal/platform/metrics"
-	"github.com/jaytack/jaytack/internal/platform/settings"
-	"github.com/jaytack/jaytack/internal/platform/sockets"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/identity"
+	"github.com/jaytack/jaytack/internal/process/journal"
+	"github.com/jaytack/jaytack/internal/process/metrics"
+	"github.com/jaytack/jaytack/internal/process/settings"
+	"github.com/jaytack/jaytack/internal/process/sockets"
+	"github.com/jaytack/jaytack/internal/process/store"
 )
 
 const (
--- a/internal/role/command/command.go
+++ b/internal/role/command/command.go
@@ -28,8 +28,8 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/journal"
-	"github.com/jaytack/jaytack/internal/platform/settings"
+	"github.com/jaytack/jaytack/internal/process/journal"
+	"github.com/jaytack/jaytack/internal/process/settings"
 	"github.com/jaytack/jaytack/internal/role/operator"
 )
 
--- a/internal/role/command/contracts.go
+++ b/internal/role/command/contracts.go
@@ -14,8 +14,8 @@
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
-	"github.com/jaytack/jaytack/internal/platform/identity"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/identity"
+	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/role/operator"
 )
 
--- a/internal/role/command/keys.go
+++ b/internal/role/command/keys.go
@@ -13,7 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/jaytack/jaytack/internal/platform/identity"
+	"github.com/jaytack/jaytack/internal/process/identity"
 	"github.com/jaytack/jaytack/internal/role/operator"
 )
 
--- a/internal/role/operator/operator.go
+++ b/internal/role/operator/operator.go
@@ -30,8 +30,8 @@
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/flow/connid"
-	"github.com/jaytack/jaytack/internal/platform/identity"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/identity"
+	"github.com/jaytack/jaytack/internal/process/store"
 )
 
 var (
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -27,9 +27,9 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jaytack/jaytack/internal/flow/tunnel"
-	"github.com/jaytack/jaytack/internal/platform/journal"
-	"github.com/jaytack/jaytack/internal/platform/settings"
-	"github.com/jaytack/jaytack/internal/platform/sockets"
+	"github.com/jaytack/jaytack/internal/process/journal"
+	"github.com/jaytack/jaytack/internal/process/settings"
+	"github.com/jaytack/jaytack/internal/process/sockets"
 )
 
 // balancerSilence is the time after which a balancer that does not announce
--- a/internal/standin/fleet/members.go
+++ b/internal/standin/fleet/members.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/metrics"
-	"github.com/jaytack/jaytack/internal/platform/settings"
-	"github.com/jaytack/jaytack/internal/platform/store"
+	"github.com/jaytack/jaytack/internal/process/metrics"
+	"github.com/jaytack/jaytack/internal/process/settings"
+	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/role/agent"
 	"github.com/jaytack/jaytack/internal/role/balancer"
 	"github.com/jaytack/jaytack/internal/standin/upstream"
--- a/internal/standin/fleet/submission_test.go
+++ b/internal/standin/fleet/submission_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/jaytack/jaytack/client"
 	"github.com/jaytack/jaytack/internal/customer/contract"
-	"github.com/jaytack/jaytack/internal/platform/settings"
+	"github.com/jaytack/jaytack/internal/process/settings"
 	"github.com/jaytack/jaytack/internal/standin/caller"
 	"github.com/jaytack/jaytack/internal/standin/upstream"
 )
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -20,13 +20,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/fleet/protocol"
 	"github.com/jaytack/jaytack/internal/fleet/wire"
 	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/flow/placement"
-	"github.com/jaytack/jaytack/internal/platform/instant"
 )
 
 // Overhead is what a message costs besides its encoding, in bytes: IP and UDP
