Serve relayed flows on the platform

Cause: the platform's callers bring flows of their own, UDP packets that only their two ends may change; jaytack could end QUIC flows alone.

--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -11,8 +11,10 @@
 package journal
 
 import (
+	"bytes"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -37,6 +39,47 @@
 	return l, ok
 }
 
+// asyncLines bounds the lines that wait for a slow reader of the log.
+const asyncLines = 1024
+
+// Async is a writer that never blocks: it drops what its reader is too slow for.
+type Async struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewAsync returns a writer that passes lines on to w.
+func NewAsync(w io.Writer) *Async {
+	a := &Async{lines: make(chan []byte, asyncLines)}
+	go func() {
+		for b := range a.lines {
+			// There is nowhere to report that the log cannot be written.
+			_, _ = w.Write(b)
+		}
+	}()
+	return a
+}
+
+// Write queues a line.
+func (a *Async) Write(b []byte) (int, error) {
+	select {
+	case a.lines <- bytes.Clone(b):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (a *Async) Dropped() int64 { return a.dropped.Load() }
+
+// Flush waits until queued lines are taken, at most for a time.
+func (a *Async) Flush(limit time.Duration) {
+	for end := time.Now().Add(limit); len(a.lines) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Journal writes events as lines. It may be shared.
 type Journal struct {
 	logger log.Logger
--- /dev/null
+++ b/internal/relay/balancer/balancer.go
@@ -0,0 +1,190 @@
+// Package balancer runs a balancer of relayed flows: the sockets, the store and
+// the timers round package forwarding.
+//
+// # Usage
+//
+//	b, err := balancer.New(process.New(cfg), follow)
+//	b.Wait(ctx)
+//	b.Drain()
+//	b.Close()
+package balancer
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jaytack/jaytack/internal/process/sockets"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/follower"
+	"github.com/jaytack/jaytack/internal/relay/forwarding"
+	"github.com/jaytack/jaytack/internal/relay/link"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/process"
+	"github.com/jaytack/jaytack/internal/relay/registry"
+	"github.com/jaytack/jaytack/internal/relay/routes"
+)
+
+const (
+	// maxPacket is the largest packet that is read.
+	maxPacket = 2048
+	// drainFor is how long a stopping balancer still forwards: the routers ask twice
+	// a second and take it out after two refusals.
+	drainFor = 2 * time.Second
+)
+
+// Balancer is a running balancer.
+type Balancer struct {
+	*process.Process
+	callers  *net.UDPConn
+	link     *link.Link
+	registry *registry.Registry
+	follower *follower.Follower
+	done     chan struct{}
+
+	mu   sync.Mutex
+	core *forwarding.Core
+	enc  process.Encoder
+}
+
+// New starts a balancer; follow says which configuration it follows.
+func New(p *process.Process, follow follower.Config) (*Balancer, error) {
+	s := p.Settings
+	callers, err := sockets.Listen(s.Callers)
+	if err != nil {
+		return nil, err
+	}
+	p.UseForCallers(callers)
+	b := &Balancer{
+		Process: p, callers: callers, done: make(chan struct{}),
+		core: forwarding.New(forwarding.Config{Self: p.Self(), DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec}),
+	}
+	b.link, err = link.Listen(s.Instance, s.PeerPort, func(from flow.IP, e *message.Envelope) {
+		b.with(func(c *forwarding.Core) { c.Message(b.Now(), from, e) })
+	})
+	if err != nil {
+		return nil, err
+	}
+	follow.Apply = func(c *routes.Configuration, source string) {
+		b.with(func(core *forwarding.Core) { core.Configure(b.Now(), c, source) })
+	}
+	b.follower = follower.New(follow, p.Store, p.Journal)
+	b.registry = registry.New(registry.Config{
+		Self: p.Self(), Record: b.record,
+		Loaded: func(recs []*message.Record) {
+			b.with(func(c *forwarding.Core) { c.Stored(b.Now(), recs) })
+		},
+		Own: func(r *message.Record) {
+			b.with(func(c *forwarding.Core) { c.Incarnation = max(c.Incarnation, r.Incarnation+1) })
+		},
+	}, p.Store, p.Journal)
+	go func() { b.readCallers() }()
+	go func() { b.tick() }()
+	b.publishMetrics()
+	err = p.Serve(s.Ready, p.Ready(func() (bool, string) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.core.Ready(b.Now())
+	}))
+	if err != nil {
+		return nil, err
+	}
+	b.Info("Started", "Role", "Balancer", "Name", s.Name, "Instance", s.Instance, "DataCentre", s.DataCentre, "Incarnation", p.Incarnation())
+	return b, nil
+}
+
+func (b *Balancer) record() *message.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Record()
+}
+
+// with gives the core an input and does what it decides.
+func (b *Balancer) with(f func(c *forwarding.Core)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(b.core)
+	actions, decisions := b.core.Take()
+	for _, a := range actions {
+		switch a.Kind {
+		case forwarding.Send:
+			b.enc.Send(b.Process, b.link, a.To, a.Message)
+		case forwarding.Reply:
+			b.Reply(a.Flow, a.Bytes)
+		case forwarding.Refresh:
+			b.follower.Refresh()
+		}
+	}
+	for _, d := range decisions {
+		if d.Important {
+			b.Info(d.Event, d.Pairs...)
+		} else {
+			b.Decision(d.Event, d.Pairs...)
+		}
+	}
+}
+
+func (b *Balancer) readCallers() {
+	buf := make([]byte, maxPacket)
+	for {
+		n, _, err := b.callers.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// An ICMP error of an earlier reply; the caller is gone.
+			continue
+		}
+		b.with(func(c *forwarding.Core) { c.Packet(b.Now(), buf[:n]) })
+	}
+}
+
+func (b *Balancer) tick() {
+	t := time.NewTicker(forwarding.TickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.done:
+			return
+		case <-t.C:
+			b.with(func(c *forwarding.Core) { c.Tick(b.Now()) })
+		}
+	}
+}
+
+func (b *Balancer) publishMetrics() {
+	b.Metrics.Func("Forwarding", func() any {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.core.Counts
+	})
+	b.Metrics.Func("Version", func() any {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.core.Routes.Version()
+	})
+	b.Metrics.Func("Hints", func() any {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		n, _ := b.core.Sizes()
+		return n
+	})
+}
+
+// Drain tells the routers that the balancer stops and forwards until they have noticed.
+func (b *Balancer) Drain() {
+	b.with(func(c *forwarding.Core) { c.Stop(b.Now()) })
+	time.Sleep(drainFor)
+}
+
+// Close ends the balancer.
+func (b *Balancer) Close() {
+	close(b.done)
+	b.follower.Close()
+	b.registry.Close()
+	b.Process.Close()
+	b.link.Close()
+	_ = b.callers.Close()
+	b.Info("Stopped")
+}
--- /dev/null
+++ b/internal/relay/follower/follower.go
@@ -0,0 +1,164 @@
+// Package follower follows the operators' configuration in the platform's store.
+//
+// A watch tells of changes at once. It may go silent, and the history that it needs
+// may be dropped, so the key itself is read again after each failure, when another
+// balancer has a newer version, and from time to time.
+//
+// # Usage
+//
+//	f := follower.New(cfg, store, journal)
+//	f.Refresh()
+//	f.Close()
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jaytack/jaytack/internal/process/journal"
+	"github.com/jaytack/jaytack/internal/process/store"
+	"github.com/jaytack/jaytack/internal/relay/routes"
+)
+
+const (
+	// checkEvery is how often the key is read although the watch says nothing new:
+	// within the time in which a configuration is to be in force.
+	checkEvery = 2500 * time.Millisecond
+	// retryAfter is the pause after a failed call.
+	retryAfter = 100 * time.Millisecond
+)
+
+// Config is what a follower calls. All fields are set.
+type Config struct {
+	Key store.Key
+	// Decode decodes the key's value.
+	Decode func(value []byte) (c *routes.Configuration, problems []error, err error)
+	// Apply takes in a configuration, which may be older than the one in force.
+	Apply func(c *routes.Configuration, source string)
+}
+
+// Follower follows one key.
+type Follower struct {
+	Config
+	*journal.Journal
+	store  *store.Client
+	cancel context.CancelFunc
+	done   chan struct{}
+	wake   chan struct{}
+
+	failing  bool
+	revision store.Revision
+	seen     store.Revision
+}
+
+// New returns a follower that runs until Close.
+func New(cfg Config, st *store.Client, j *journal.Journal) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{Config: cfg, Journal: j, store: st, cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	go func() {
+		defer close(f.done)
+		f.run(ctx)
+	}()
+	return f
+}
+
+// Refresh has the key read soon.
+func (f *Follower) Refresh() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the follower.
+func (f *Follower) Close() {
+	f.cancel()
+	<-f.done
+}
+
+func (f *Follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.read(ctx)
+		if err == nil {
+			err = f.watch(ctx)
+		}
+		f.noteHealth(err)
+		if err != nil {
+			f.pause(ctx)
+		}
+	}
+}
+
+func (f *Follower) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryAfter):
+	}
+}
+
+func (f *Follower) noteHealth(err error) {
+	switch {
+	case err != nil && !f.failing:
+		f.Warn("StoreLost", "By", "Follower", "Reason", err)
+	case err == nil && f.failing:
+		f.Info("StoreRegained", "By", "Follower")
+	}
+	f.failing = err != nil
+}
+
+// read reads the key itself.
+func (f *Follower) read(ctx context.Context) error {
+	kvs, rev, err := f.store.Read(ctx, store.Range{Key: f.Key})
+	if err != nil {
+		return err
+	}
+	f.revision = max(f.revision, rev)
+	for _, kv := range kvs {
+		f.revision = max(f.revision, kv.Revision)
+		f.take(kv, "Read")
+	}
+	return nil
+}
+
+// take decodes a value that is new.
+func (f *Follower) take(kv store.KV, source string) {
+	if kv.Key != f.Key || kv.Value == nil || kv.Revision <= f.seen {
+		return
+	}
+	c, problems, err := f.Decode(kv.Value)
+	if err != nil {
+		f.Error("ConfigurationUnreadable", "Revision", kv.Revision, "Reason", err)
+		return
+	}
+	for _, p := range problems {
+		f.Warn("RouteUnreadable", "Revision", kv.Revision, "Reason", p)
+	}
+	f.seen = kv.Revision
+	f.Apply(c, source)
+}
+
+// watch follows changes until it is time to read the key again.
+func (f *Follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-f.wake:
+			cancel()
+		}
+	}()
+	for until := time.Now().Add(checkEvery); time.Now().Before(until) && ctx.Err() == nil; {
+		rev, err := f.store.Watch(ctx, f.Key, f.revision, func(kv store.KV) { f.take(kv, "Watch") })
+		if ctx.Err() != nil || eris.Is(err, store.ErrCompacted) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		f.revision = max(f.revision, rev)
+	}
+	return nil
+}
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -279,3 +279,6 @@
 	c.note("FlowReset", append([]any{"Flow", id, "Reason", reason}, pairs...)...)
 	c.do(Action{Kind: Reply, Flow: id, Bytes: c.Codec.Reset(id, seq)})
 }
+
+// State returns what the agent announces about its upstream.
+func (c *Core) State() message.State { return c.state }
