Reset on complete knowledge only: denials list members, rosters settle

Ruled out: a lost claim (a denial of the owner would be needed too).

Change: a denial lists the members that its sender knows, and the asker asks those that it lacks; a process that does not find its own former entry in the store waits 2 s before it takes an absence for knowledge; entries are read again once the own entry is written; first packets that wait are kept once for each flow and for as long as the caller tries; flows of an upstream that left end 300 ms after its leave.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -80,7 +80,7 @@
 			a.with(func(c *serving.Core) { c.Stored(a.Now(), recs) })
 		},
 		Own: func(r *message.Record) {
-			a.with(func(c *serving.Core) { c.Incarnation = max(c.Incarnation, r.Incarnation+1) })
+			a.with(func(c *serving.Core) { c.FoundOwn(a.Now(), r) })
 		},
 	}, p.Store, p.Journal)
 	go func() { a.readUpstream() }()
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -76,7 +76,7 @@
 			b.with(func(c *forwarding.Core) { c.Stored(b.Now(), recs) })
 		},
 		Own: func(r *message.Record) {
-			b.with(func(c *forwarding.Core) { c.Incarnation = max(c.Incarnation, r.Incarnation+1) })
+			b.with(func(c *forwarding.Core) { c.FoundOwn(b.Now(), r) })
 		},
 	}, p.Store, p.Journal)
 	go func() { b.readCallers() }()
--- a/internal/relay/directory/directory.go
+++ b/internal/relay/directory/directory.go
@@ -54,8 +54,10 @@
 type Search struct {
 	// Started is when the search began, Asked when agents were last asked.
 	Started, Asked, used instant.Instant
-	denied               map[flow.IP]bool
-	queue                []*message.Carried
+	denied, missing      map[flow.IP]bool
+	// Last is the packet that agents were last asked with.
+	Last  *message.Carried
+	queue []*message.Carried
 	// LastAck is the acknowledgement in the caller's last packet.
 	LastAck uint32
 }
@@ -77,6 +79,24 @@
 // Deny notes that an agent's upstream does not hold the flow.
 func (s *Search) Deny(agent flow.IP) { s.denied[agent] = true }
 
+// Miss notes an agent that others know and that has to be asked too.
+func (s *Search) Miss(agent flow.IP) {
+	if s.missing == nil {
+		s.missing = make(map[flow.IP]bool)
+	}
+	s.missing[agent] = true
+}
+
+// Missing reports whether an agent that only others know has not denied the flow.
+func (s *Search) Missing() bool {
+	for a := range s.missing {
+		if !s.denied[a] {
+			return true
+		}
+	}
+	return false
+}
+
 // Denied reports whether an agent has denied the flow.
 func (s *Search) Denied(agent flow.IP) bool { return s.denied[agent] }
 
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -26,8 +26,11 @@
 	// checkEvery is how often the key is read although the watch says nothing new:
 	// within the time in which a configuration is to be in force.
 	checkEvery = 2500 * time.Millisecond
-	// retryAfter is the pause after a failed call.
+	// retryFirst is the pause after a failed call while there is no configuration,
+	// retryAfter the one after the first failed call later; it doubles up to retryMost.
+	retryFirst = 30 * time.Millisecond
 	retryAfter = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
 )
 
 // Config is what a follower calls. All fields are set.
@@ -49,6 +52,7 @@
 	wake   chan struct{}
 
 	failing  bool
+	retry    time.Duration
 	revision store.Revision
 	seen     store.Revision
 }
@@ -94,10 +98,21 @@
 func (f *Follower) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryAfter):
+	case <-f.wake:
+	case <-time.After(f.delay()):
 	}
 }
 
+// delay returns the pause before the next try.
+func (f *Follower) delay() time.Duration {
+	if f.seen == 0 {
+		return retryFirst
+	}
+	d := f.retry
+	f.retry = min(2*f.retry, retryMost)
+	return d
+}
+
 func (f *Follower) noteHealth(err error) {
 	switch {
 	case err != nil && !f.failing:
@@ -105,6 +120,9 @@
 	case err == nil && f.failing:
 		f.Info("StoreRegained", "By", "Follower")
 	}
+	if err == nil {
+		f.retry = retryAfter
+	}
 	f.failing = err != nil
 }
 
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -101,7 +101,10 @@
 }
 
 type waiting struct {
-	at    instant.Instant
+	id flow.ID
+	// until is when the caller has given up.
+	until instant.Instant
+	opens bool
 	bytes []byte
 }
 
@@ -239,7 +242,7 @@
 
 // noAgent handles a packet to a service without agents.
 func (c *Core) noAgent(now instant.Instant, p flow.Packet, service string) {
-	if !c.Roster.Loaded() || !p.Opens() {
+	if !c.Roster.Settled(now) || !p.Opens() {
 		c.wait(now, p)
 		return
 	}
@@ -252,14 +255,32 @@
 	c.do(Action{Kind: Send, To: to, Message: &message.Envelope{Body: &message.Envelope_Carried{Carried: m}}})
 }
 
-// wait keeps a packet until there is a configuration and an agent.
+// wait keeps a packet until there is a configuration and an agent. Of the copies
+// of a first packet the last is kept.
 func (c *Core) wait(now instant.Instant, p flow.Packet) {
+	w := waiting{id: p.Flow, until: now.Add(keepWaiting), opens: p.Opens(), bytes: bytes.Clone(p.Bytes)}
+	if w.opens {
+		w.until = now.Add(openingLeft(p.AckSeq))
+		for i := range c.waiting {
+			if c.waiting[i].opens && c.waiting[i].id == p.Flow {
+				c.waiting[i] = w
+				return
+			}
+		}
+	}
 	if len(c.waiting) >= maxWaiting {
 		c.Counts.Dropped++
 		return
 	}
 	c.Counts.Waited++
-	c.waiting = append(c.waiting, waiting{now, bytes.Clone(p.Bytes)})
+	c.waiting = append(c.waiting, w)
+}
+
+// openingLeft returns for how much longer a caller tries to open a flow when it
+// sends a copy of the first packet.
+func openingLeft(copies uint32) time.Duration {
+	sent := [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+	return keepWaiting - sent[min(int(copies), len(sent)-1)]
 }
 
 // retry forwards what waited, as far as it is not too old.
@@ -271,14 +292,14 @@
 	c.waiting = nil
 	for _, w := range queue {
 		p, ok := c.Codec.FromCaller(w.bytes)
-		if !ok || now.Sub(w.at) > keepWaiting {
+		if !ok || now > w.until {
 			c.Counts.Dropped++
 			continue
 		}
 		before := len(c.waiting)
 		c.forward(now, p)
 		if len(c.waiting) > before {
-			c.waiting[before].at = w.at
+			c.waiting[before].until = w.until
 		}
 	}
 }
@@ -330,6 +351,12 @@
 	c.retry(now)
 }
 
+// FoundOwn takes in the entry that an earlier process of the instance left.
+func (c *Core) FoundOwn(now instant.Instant, r *message.Record) {
+	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
+	c.Roster.FoundOwn(now)
+}
+
 // Stored takes in all entries of the store.
 func (c *Core) Stored(now instant.Instant, recs []*message.Record) {
 	first := !c.Roster.Loaded()
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -39,8 +39,15 @@
 	// pollEvery is how often entries are read: a vanished entry is to be back
 	// within 2 s.
 	pollEvery = 1500 * time.Millisecond
-	// retryAfter is the pause after a failed call.
+	// earlyPollEvery is how often entries are read for earlyFor after the start and
+	// after each write of the own entry, when others write theirs.
+	earlyPollEvery = 250 * time.Millisecond
+	earlyFor       = 2 * time.Second
+	// retryFirst is the pause after a failed call while the process knows nobody,
+	// retryAfter the one after the first failed call later; it doubles up to retryMost.
+	retryFirst = 30 * time.Millisecond
 	retryAfter = 100 * time.Millisecond
+	retryMost  = time.Second
 )
 
 // Config is what a registry calls. All fields are set.
@@ -67,8 +74,12 @@
 	lease    store.LeaseID
 	revision store.Revision
 	renewAt  time.Time
+	readAt   time.Time
+	early    time.Time
+	loaded   bool
 	dirty    bool
 	failing  bool
+	retry    time.Duration
 }
 
 // New returns a registry that reads and writes until Close.
@@ -100,47 +111,43 @@
 }
 
 func (r *Registry) run(ctx context.Context) {
-	first := true
-	readAt := time.Now()
 	for ctx.Err() == nil {
-		err := r.step(ctx, first, &readAt)
-		if err == nil {
-			first = false
-		}
+		err := r.step(ctx)
 		r.noteHealth(err)
-		r.pause(ctx, err, readAt)
+		r.pause(ctx, err)
 	}
 }
 
-// step does what is due.
-func (r *Registry) step(ctx context.Context, first bool, readAt *time.Time) error {
-	if first || !time.Now().Before(*readAt) {
-		if err := r.read(ctx, !first); err != nil {
+// step does what is due. The entries are read again once the own entry is
+// written: of two processes that start at once, the later one sees the other.
+func (r *Registry) step(ctx context.Context) error {
+	if !r.loaded || !time.Now().Before(r.readAt) {
+		if err := r.read(ctx, r.loaded); err != nil {
 			return err
 		}
-		*readAt = time.Now().Add(pollEvery)
 	}
 	if r.lease != 0 && !time.Now().Before(r.renewAt) {
 		if err := r.renew(ctx); err != nil {
 			return err
 		}
 	}
-	if r.dirty {
-		return r.write(ctx)
+	if !r.dirty {
+		return nil
 	}
-	return nil
+	fresh := r.lease == 0
+	if err := r.write(ctx); err != nil || !fresh {
+		return err
+	}
+	r.early = time.Now().Add(earlyFor)
+	return r.read(ctx, false)
 }
 
-func (r *Registry) pause(ctx context.Context, err error, readAt time.Time) {
-	until := readAt
+func (r *Registry) pause(ctx context.Context, err error) {
+	until := r.readAt
 	if r.lease != 0 && r.renewAt.Before(until) {
 		until = r.renewAt
 	}
-	d := time.Until(until)
-	if err != nil {
-		d = retryAfter
-	}
-	t := time.NewTimer(max(d, time.Millisecond))
+	t := time.NewTimer(max(r.delay(err, time.Until(until)), time.Millisecond))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -150,6 +157,20 @@
 	}
 }
 
+// delay returns the time to the next step.
+func (r *Registry) delay(err error, due time.Duration) time.Duration {
+	switch {
+	case err == nil:
+		r.retry = retryAfter
+		return due
+	case !r.loaded:
+		return retryFirst
+	}
+	d := r.retry
+	r.retry = min(2*r.retry, retryMost)
+	return d
+}
+
 // noteHealth logs when the store is lost and when it is back.
 func (r *Registry) noteHealth(err error) {
 	switch {
@@ -168,6 +189,10 @@
 		return err
 	}
 	recs := make([]*message.Record, 0, len(kvs))
+	r.readAt = time.Now().Add(pollEvery)
+	if time.Now().Before(r.early) {
+		r.readAt = time.Now().Add(earlyPollEvery)
+	}
 	own := false
 	for _, kv := range kvs {
 		rec := &message.Record{}
@@ -188,6 +213,7 @@
 	if !own && stale && !r.dirty {
 		return r.restore(ctx, recs)
 	}
+	r.loaded = true
 	r.Loaded(recs)
 	return nil
 }
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -40,6 +40,9 @@
 	// ForgetAfter is how long a member is kept that neither reports nor is in the
 	// store: the 2 s within which a lapsed entry is written again, and one read.
 	ForgetAfter = 3 * time.Second
+	// SettleAfter is how long members may be missing in the store after it lost
+	// entries: those that live write them again within 2 s.
+	SettleAfter = 2 * time.Second
 	// rebirthAfter is the silence after which a report with a lower incarnation is
 	// believed: the clock of a restarted process may have been set back.
 	rebirthAfter = time.Second
@@ -86,6 +89,8 @@
 	// Changes counts changes of who is a member or takes flows.
 	Changes uint64
 	loaded  bool
+	// settleAt is when all that live have had the time to be in the store.
+	settleAt instant.Instant
 }
 
 // New returns the view of a process that knows nobody.
@@ -99,6 +104,15 @@
 // Loaded reports whether the store has been read since the start.
 func (r *Roster) Loaded() bool { return r.loaded }
 
+// Settled reports whether a member that lives is known by now: the store has been
+// read, and either it still had the own entry of before, so that it has not lost
+// others, or all that live have had the time to write theirs.
+func (r *Roster) Settled(now instant.Instant) bool { return r.loaded && now >= r.settleAt }
+
+// FoundOwn notes that the store still had the entry of an earlier process of the
+// own instance.
+func (r *Roster) FoundOwn(now instant.Instant) { r.settleAt = now }
+
 // Member returns a member, nil where there is none.
 func (r *Roster) Member(id flow.IP) *Member { return r.members[id] }
 
@@ -152,6 +166,9 @@
 // Stored takes in all entries of the store. Members that are missing there stay
 // for ForgetAfter from the time when they were last known.
 func (r *Roster) Stored(now instant.Instant, recs []*message.Record) {
+	if !r.loaded && r.settleAt == 0 {
+		r.settleAt = now.Add(SettleAfter)
+	}
 	r.loaded = true
 	for _, m := range r.members {
 		m.stored = false
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -126,28 +126,23 @@
 	}
 	if s.Asked == 0 {
 		c.Counts.Searches++
-		c.note("OwnerSearched", "Flow", p.Flow, "Members", len(c.Roster.Group(c.Service)), "Loaded", c.Roster.Loaded())
+		c.note("OwnerSearched", "Flow", p.Flow, "Members", len(c.Roster.Group(c.Service)), "Settled", c.Roster.Settled(now))
 	}
 	s.Asked = now
-	c.ask(now, p.Flow, s, m)
+	c.ask(now, s, m)
 	c.conclude(now, p.Flow, s)
 }
 
-func (c *Core) ask(now instant.Instant, id flow.ID, s *directory.Search, m *message.Carried) {
-	probe := func(to flow.IP) {
-		if s.Denied(to) {
-			return
-		}
-		c.carry(now, to, &message.Carried{
-			Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
-		}, message.Step_StepProbe)
-	}
+func (c *Core) ask(now instant.Instant, s *directory.Search, m *message.Carried) {
+	s.Last = m
 	for _, r := range c.Roster.Group(c.Service) {
-		if r.ID() != c.Self && r.State != message.State_StateGone {
-			probe(r.ID())
+		if r.ID() != c.Self && r.State != message.State_StateGone && !s.Denied(r.ID()) {
+			c.probe(now, r.ID(), m)
 		}
 	}
-	probe(c.Self)
+	if !s.Denied(c.Self) {
+		c.probe(now, c.Self, m)
+	}
 }
 
 // claimed notes the owner of a flow and passes on what waited for it.
@@ -164,19 +159,39 @@
 }
 
 // denied notes that an agent does not hold a flow.
-func (c *Core) denied(now instant.Instant, from flow.IP, id flow.ID) {
+func (c *Core) denied(now instant.Instant, from flow.IP, id flow.ID, members []uint32) {
 	c.Counts.Denials++
 	s := c.directory.Searching(id)
 	if s == nil {
 		return
 	}
 	s.Deny(from)
+	c.askMissing(now, s, members)
 	c.conclude(now, id, s)
 }
 
+// askMissing asks agents that others know and this one does not.
+func (c *Core) askMissing(now instant.Instant, s *directory.Search, members []uint32) {
+	for _, x := range members {
+		a := flow.IP(x)
+		if a == c.Self || s.Denied(a) || c.Roster.Member(a) != nil || s.Last == nil {
+			continue
+		}
+		s.Miss(a)
+		c.probe(now, a, s.Last)
+	}
+}
+
+// probe asks an agent whether it holds the flow of a packet.
+func (c *Core) probe(now instant.Instant, to flow.IP, m *message.Carried) {
+	c.carry(now, to, &message.Carried{
+		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
+	}, message.Step_StepProbe)
+}
+
 // conclude resets a flow once every member of the service has denied it.
 func (c *Core) conclude(now instant.Instant, id flow.ID, s *directory.Search) {
-	if !c.Roster.Loaded() || !s.Denied(c.Self) {
+	if !c.Roster.Settled(now) || !s.Denied(c.Self) || s.Missing() {
 		return
 	}
 	for _, r := range c.Roster.Group(c.Service) {
@@ -201,6 +216,12 @@
 	c.search(now, p, m)
 }
 
+// FoundOwn takes in the entry that an earlier process of the instance left.
+func (c *Core) FoundOwn(now instant.Instant, r *message.Record) {
+	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
+	c.Roster.FoundOwn(now)
+}
+
 // Stored takes in all entries of the store.
 func (c *Core) Stored(now instant.Instant, recs []*message.Record) {
 	c.Roster.Stored(now, recs)
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -130,10 +130,16 @@
 
 func (c *Core) deny(now instant.Instant, asker flow.IP, id flow.ID) {
 	if asker == c.Self {
-		c.denied(now, c.Self, id)
+		c.denied(now, c.Self, id, nil)
 		return
 	}
-	c.send(asker, &message.Envelope{Body: &message.Envelope_Denial{Denial: &message.Denial{Flow: message.FlowOf(id)}}})
+	d := &message.Denial{Flow: message.FlowOf(id)}
+	for _, r := range c.Roster.Group(c.Service) {
+		if r.State != message.State_StateGone && len(d.Members) < maxListed {
+			d.Members = append(d.Members, r.Instance)
+		}
+	}
+	c.send(asker, &message.Envelope{Body: &message.Envelope_Denial{Denial: d}})
 }
 
 // giveBack returns a packet to the flow's home: the upstream does not hold the flow.
@@ -233,7 +239,7 @@
 	replaced := c.up.known && h.Born > old.Born
 	c.up.Heartbeat, c.up.known = h, true
 	c.up.beat = now
-	c.up.gone = false
+	c.up.gone, c.up.endAt = false, 0
 	c.up.coldUntil = now.Add(h.ColdFor)
 	if replaced {
 		c.noteAlways("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Before", old.Upstream, "BornBefore", old.Born)
@@ -261,9 +267,8 @@
 		c.note("LeaveLate", "Upstream", id, "Known", c.up.Upstream)
 		return
 	}
-	c.up.gone = true
+	c.up.gone, c.up.endAt = true, now.Add(endAfterLeave)
 	c.announce(now)
-	c.endFlows(now, "UpstreamLeft")
 }
 
 // Stop announces that the process ends.
@@ -337,6 +342,10 @@
 // Tick does what is due.
 func (c *Core) Tick(now instant.Instant) {
 	c.announce(now)
+	if c.up.endAt != 0 && now >= c.up.endAt {
+		c.up.endAt = 0
+		c.endFlows(now, "UpstreamLeft")
+	}
 	busy, idle := c.table.Load()
 	c.board.Update(c.Self, load.Signal{Slots: c.up.Slots, Busy: busy, Idle: idle, Cold: c.up.coldUntil > now})
 	if now >= c.expireAt {
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -58,6 +58,10 @@
 	// keepWaiting is how long packets wait for an upstream or for the roster: the
 	// time for which callers try to open a flow.
 	keepWaiting = 1400 * time.Millisecond
+	// endAfterLeave is the time between an upstream's leave and its end.
+	endAfterLeave = 300 * time.Millisecond
+	// maxListed bounds the members that a denial lists, so that it fits a datagram.
+	maxListed = 200
 	// maxWaiting bounds the packets that wait.
 	maxWaiting = 512
 	// maxPlacements bounds how often a new flow is passed on to another agent.
@@ -142,6 +146,8 @@
 	owesOpening, owesData   bool
 	coldUntil               instant.Instant
 	gone                    bool
+	// endAt is when the flows of an upstream that has left are ended, 0 for never.
+	endAt instant.Instant
 }
 
 // Core is the decisions of one agent.
@@ -224,7 +230,7 @@
 	case *message.Envelope_Claim:
 		c.claimed(now, from, b.Claim.GetFlow().ID())
 	case *message.Envelope_Denial:
-		c.denied(now, from, b.Denial.GetFlow().ID())
+		c.denied(now, from, b.Denial.GetFlow().ID(), b.Denial.GetMembers())
 	case *message.Envelope_Report:
 		c.reported(now, from, b.Report.GetRecord())
 	case *message.Envelope_Records:
