Play relayed flows on a whole fleet under virtual time

Change: internal/standin/relay runs the cores of balancers and agents with routers that hash by modulus, upstreams with slots and queues, callers with their retries, a list of members and a network; it checks that no open flow is reset while its upstream lives and that no upstream gets another service's packets. Tests: restarts in turn, a kill of all, a store that lost its entries, drains and joins, a frozen agent, cuts. Rosters and tables are walked in order, so that the same seed gives the same results.

--- a/core_test.go
+++ b/core_test.go
@@ -18,6 +18,8 @@
 	"internal/flow/connid", "internal/flow/placement", "internal/flow/routing", "internal/flow/tunnel",
 	"internal/clock/instant", "internal/request/admission", "internal/request/handover", "internal/request/ledger",
 	"internal/request/outcome",
+	"internal/relay/directory", "internal/relay/flow", "internal/relay/forwarding", "internal/relay/load",
+	"internal/relay/ownership", "internal/relay/roster", "internal/relay/routes", "internal/relay/serving",
 }
 
 // forbidden lists imports that bring input, output or a clock.
--- a/internal/relay/flow/flow.go
+++ b/internal/relay/flow/flow.go
@@ -12,6 +12,7 @@
 package flow
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 	"strconv"
@@ -69,6 +70,12 @@
 // String returns the caller's end and the service address.
 func (id ID) String() string { return id.Caller.String() + ">" + id.Address.String() }
 
+// Compare orders flows by caller, then by address.
+func (id ID) Compare(o ID) int {
+	return cmp.Or(cmp.Compare(id.Caller.IP, o.Caller.IP), cmp.Compare(id.Caller.Port, o.Caller.Port),
+		cmp.Compare(id.Address.IP, o.Address.IP), cmp.Compare(id.Address.Port, o.Address.Port))
+}
+
 // Hash returns a hash that all processes agree on.
 func (id ID) Hash() uint64 {
 	var b [12]byte
--- a/internal/relay/ownership/ownership.go
+++ b/internal/relay/ownership/ownership.go
@@ -18,6 +18,8 @@
 package ownership
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
@@ -102,10 +104,10 @@
 // Load returns the number of open flows with a request in progress and without.
 func (t *Table) Load() (busy, idle int) { return t.busy, max(t.open-t.busy, 0) }
 
-// All calls f for every flow; f may drop it.
+// All calls f for every flow, ordered by name; f may drop it.
 func (t *Table) All(f func(*Flow)) {
-	for _, x := range t.flows {
-		f(x)
+	for _, id := range slices.SortedFunc(maps.Keys(t.flows), flow.ID.Compare) {
+		f(t.flows[id])
 	}
 }
 
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -24,6 +24,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -122,10 +123,10 @@
 // Balancers returns the balancers, ordered by instance. It must not be changed.
 func (r *Roster) Balancers() []*Member { return r.balancers }
 
-// All calls f for every member.
+// All calls f for every member, ordered by instance.
 func (r *Roster) All(f func(*Member)) {
-	for _, m := range r.members {
-		f(m)
+	for _, id := range slices.Sorted(maps.Keys(r.members)) {
+		f(r.members[id])
 	}
 }
 
--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jaytack/jaytack/internal/relay/flow"
+)
+
+// steady returns a load that does not change.
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// registro is a fleet of the usual size.
+func registro(seed uint64) Config {
+	return Config{
+		Seed: seed, DataCentres: 3, Balancers: 6, Near: 200 * time.Microsecond, Far: 3400 * time.Microsecond, Caller: 3 * time.Millisecond,
+		LossPerMille: 1,
+		Services:     []Service{{"padron", 7, 4, 16}, {"recuento", 3, 4, 16}},
+		Callers: []Kind{
+			{Name: "Lookup", Service: 0, Callers: 60, Rate: steady(1.3), Long: true, Safe: true, Work: 26 * time.Millisecond, Aim: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1, Late: 0.3, Retries: 2},
+			{Name: "Feed", Service: 0, Callers: 30, Rate: steady(0.8), Work: 33 * time.Millisecond, Aim: 200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 2, Late: 0.6, Retries: 2},
+			{Name: "Submit", Service: 1, Callers: 20, Rate: steady(0.4), Work: 4 * time.Millisecond, Aim: 500 * time.Millisecond, Deadline: 8 * time.Second, Worth: 1, Late: 0.3, Retries: 2},
+		},
+	}
+}
+
+// served returns the credit of the requests that began between two times.
+func served(w *World, from, to time.Duration) float64 {
+	var got, owed float64
+	for _, r := range w.Results {
+		if r.At >= from && r.At < to {
+			owed += r.Kind.Worth
+			got += r.Kind.Worth * r.Credit()
+		}
+	}
+	return got / owed
+}
+
+func TestCalmDay(t *testing.T) {
+	w := New(registro(1))
+	w.Run(12 * time.Second)
+	qt.Assert(t, w.Broken, qt.HasLen, 0)
+	qt.Assert(t, served(w, time.Second, 10*time.Second) > 0.97, qt.IsTrue, qt.Commentf("%.3f", served(w, time.Second, 10*time.Second)))
+}
+
+func TestFlowsSurvive(t *testing.T) {
+	tests := []struct {
+		name string
+		// least is the least credit of the requests during the change and after it.
+		least  float64
+		change func(w *World)
+	}{
+		{"BalancersRestartInTurn", 0.90, func(w *World) {
+			for i, p := range w.Balancers {
+				w.At(time.Duration(2000+600*i)*time.Millisecond, func() { w.Restart(p, 700*time.Millisecond) })
+			}
+		}},
+		{"AgentsRestartInTurn", 0.85, func(w *World) {
+			for i, p := range w.Agents {
+				w.At(time.Duration(2000+700*i)*time.Millisecond, func() { w.Restart(p, 300*time.Millisecond) })
+			}
+		}},
+		{"AllProcessesAreKilled", 0.70, func(w *World) {
+			w.At(3*time.Second, func() {
+				for _, p := range append(w.Agents, w.Balancers...) {
+					w.Restart(p, time.Second)
+				}
+			})
+		}},
+		{"StoreLosesEntriesAndAllAreKilled", 0.55, func(w *World) {
+			w.At(2*time.Second, func() { w.StoreDown = true; w.LoseEntries() })
+			w.At(3*time.Second, func() {
+				for _, p := range append(w.Agents, w.Balancers...) {
+					w.Restart(p, 500*time.Millisecond)
+				}
+			})
+			w.At(4500*time.Millisecond, func() { w.StoreDown = false })
+		}},
+		{"UpstreamsDrainAndOthersJoin", 0.93, func(w *World) {
+			for i := range 4 {
+				w.At(time.Duration(2000+800*i)*time.Millisecond, func() {
+					w.AddAgent(w.Services[0], i)
+					w.Agents[i].Upstream.Drain(3 * time.Second)
+				})
+			}
+		}},
+		{"AgentsJoinWhileOthersOfTheirDataCentreLeave", 0.93, func(w *World) {
+			for i := range 7 {
+				w.At(time.Duration(2000+300*i)*time.Millisecond, func() {
+					w.AddAgent(w.Services[0], i)
+					w.Agents[i].Upstream.Drain(3 * time.Second)
+				})
+			}
+		}},
+		{"AgentIsFrozen", 0.80, func(w *World) {
+			w.At(3*time.Second, func() { w.Agents[0].Paused = true })
+			w.At(6*time.Second, func() { w.Resume(w.Agents[0]) })
+		}},
+		{"BalancerIsCutFromAgents", 0.85, func(w *World) {
+			b := w.Balancers[0].IP
+			w.At(3*time.Second, func() { w.Cut = func(from, to flow.IP) bool { return from == b || to == b } })
+			w.At(6*time.Second, func() { w.Cut = func(_, _ flow.IP) bool { return false } })
+		}},
+		{"AgentsAreCutFromEachOther", 0.90, func(w *World) {
+			w.At(3*time.Second, func() {
+				w.Cut = func(from, to flow.IP) bool { return from>>8 == to>>8 && from>>16 == 0x0a02 && (from^to)&1 == 1 }
+			})
+			w.At(6*time.Second, func() { w.Cut = func(_, _ flow.IP) bool { return false } })
+		}},
+	}
+	for _, test := range tests {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", test.name, seed), func(t *testing.T) {
+				w := New(registro(seed))
+				test.change(w)
+				w.Run(12 * time.Second)
+				qt.Check(t, w.Broken, qt.HasLen, 0)
+				got := served(w, 2*time.Second, 10*time.Second)
+				t.Logf("served %.3f", got)
+				qt.Check(t, got >= test.least, qt.IsTrue, qt.Commentf("served %.3f", got))
+			})
+		}
+	}
+}
+
+func TestUpstreamRestartTellsCallers(t *testing.T) {
+	var resets []string
+	cfg := registro(4)
+	cfg.Trace = func(_ time.Duration, _ flow.IP, event string, pairs []any) {
+		if event == "FlowReset" {
+			resets = append(resets, fmt.Sprint(pairs...))
+		}
+	}
+	w := New(cfg)
+	w.At(3*time.Second, func() {
+		w.Agents[0].Upstream.Crash()
+		w.Agents[0].Upstream.Start()
+	})
+	w.Run(8 * time.Second)
+	qt.Assert(t, w.Broken, qt.HasLen, 0)
+	qt.Assert(t, strings.Contains(strings.Join(resets, "\n"), "UpstreamReplaced"), qt.IsTrue)
+	qt.Assert(t, served(w, 3*time.Second, 7*time.Second) > 0.9, qt.IsTrue)
+}
+
+func TestSameSeedSameResults(t *testing.T) {
+	run := func() []Result {
+		w := New(registro(5))
+		w.At(2*time.Second, func() { w.Restart(w.Balancers[1], time.Second) })
+		w.Run(5 * time.Second)
+		for i := range w.Results {
+			w.Results[i].Kind = nil
+		}
+		return w.Results
+	}
+	qt.Assert(t, run(), qt.DeepEquals, run())
+}
