Take a bounced first packet for a refusal, and keep resets of asked upstreams inside

The log of the hit: a crashed upstream's machine bounces all packets; a bounce counted as a sign of life, so the agent stayed Ready with no load and drew nearly all new flows; a bounced first packet lost the list of agents that had refused it, so it went back and forth between two of them (five placements in 30 ms). An upstream that had seen the first packet and was asked later whether it holds the flow answered with a reset, which went to the caller although the flow was open elsewhere.

Ruled out: a reset of the home (its search ended with OwnerFound).

Change: a bounce is no sign of life; a bounced first packet makes the upstream refuse until it accepts a flow or sends a heartbeat; the list of refusals stays with the flow; a reset for a flow that the upstream has not shown to hold is a denial.

--- a/internal/relay/ownership/ownership.go
+++ b/internal/relay/ownership/ownership.go
@@ -71,6 +71,8 @@
 	DataCentre     string
 	// LastAck is the acknowledgement in the caller's last packet.
 	LastAck uint32
+	// Excluded lists the agents that did not take the new flow before.
+	Excluded []uint32
 	// Asker is the agent that wants to know whether the upstream holds the flow, 0 for none.
 	Asker flow.IP
 
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -23,6 +23,7 @@
 	}
 	f := c.table.Offer(now, p)
 	c.via(f, m)
+	f.Excluded = m.Excluded
 	c.await(now, &c.up.openingSince, &c.up.owesOpening)
 	c.deliver(now, c.Self, m, p)
 }
@@ -159,11 +160,15 @@
 		c.Counts.Unreadable++
 		return
 	}
-	c.alive(now)
 	if p.Flags.Has(flow.Bounced) {
 		c.bounced(now, p)
 		return
 	}
+	c.alive(now)
+	if f := c.table.Get(p.Flow); p.Flags.Has(flow.Rst) && (f == nil || f.Phase < ownership.Accepted) {
+		c.disowned(now, p, f)
+		return
+	}
 	f, found := c.table.FromUpstream(now, p)
 	c.Counts.Replied++
 	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: p.Bytes})
@@ -172,6 +177,20 @@
 	}
 }
 
+// disowned handles a reset of a flow that the upstream has not shown to hold: it
+// may be open elsewhere, so the caller must not get it.
+func (c *Core) disowned(now instant.Instant, p flow.Packet, f *ownership.Flow) {
+	c.note("UpstreamDisownsFlow", "Flow", p.Flow, "Asked", f != nil && f.Asker != 0)
+	if f == nil {
+		return
+	}
+	asker := f.Asker
+	c.table.Drop(f)
+	if asker != 0 {
+		c.deny(now, asker, p.Flow)
+	}
+}
+
 // opened tells who needs to know that the upstream holds a flow.
 func (c *Core) opened(now instant.Instant, f *ownership.Flow, p flow.Packet) {
 	if f.DataCentre == "" {
@@ -199,14 +218,16 @@
 	f := c.table.Get(p.Flow)
 	m := &message.Carried{Packet: p.Bytes, Service: c.Service, DataCentre: c.DataCentre}
 	if f != nil {
-		m.Balancer, m.DataCentre = uint32(f.Balancer), f.DataCentre
+		m.Balancer, m.DataCentre, m.Excluded = uint32(f.Balancer), f.DataCentre, f.Excluded
 	}
 	switch {
 	case p.Opens():
 		if f != nil {
 			c.table.Drop(f)
 		}
-		c.note("FirstPacketBounced", "Flow", p.Flow)
+		c.note("FirstPacketBounced", "Flow", p.Flow, "Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
+		c.up.refuses = true
+		c.announce(now)
 		c.passOn(now, p, m)
 	case f != nil && f.Phase == ownership.Open:
 		c.table.Drop(f)
@@ -279,7 +300,7 @@
 
 // alive notes that the upstream was heard, and delivers again what it may have missed.
 func (c *Core) alive(now instant.Instant) {
-	c.up.heard = now
+	c.up.heard, c.up.refuses = now, false
 	c.up.owesOpening, c.up.owesData = false, false
 	missed := c.state == message.State_StateUnknown || c.state == message.State_StateSilent
 	if !missed {
@@ -304,7 +325,7 @@
 		return message.State_StateRestarting
 	case c.up.Draining:
 		return message.State_StateDraining
-	case c.up.owesOpening && now.Sub(c.up.openingSince) > silentAfterOpening,
+	case c.up.refuses, c.up.owesOpening && now.Sub(c.up.openingSince) > silentAfterOpening,
 		c.up.owesData && now.Sub(c.up.dataSince) > silentAfterData:
 		if c.state == message.State_StateUnknown {
 			return c.state
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -146,6 +146,8 @@
 	owesOpening, owesData   bool
 	coldUntil               instant.Instant
 	gone                    bool
+	// refuses is set while first packets bounce: the upstream is down, or full.
+	refuses bool
 	// endAt is when the flows of an upstream that has left are ended, 0 for never.
 	endAt instant.Instant
 }
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -156,7 +156,7 @@
 			p.Upstream.receive(slices.Clone(a.Bytes))
 		case serving.Reply:
 			h, _ := readHead(a.Bytes)
-			w.reply(p.IP, a.Flow, a.Bytes, h.Flags == flow.Rst && h.Request == 0)
+			w.reply(p.IP, a.Flow, a.Bytes, h.Flags == flow.Rst)
 		}
 	}
 }
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -148,6 +148,59 @@
 	qt.Assert(t, served(w, 3*time.Second, 7*time.Second) > 0.9, qt.IsTrue)
 }
 
+// countEvents returns how often each event was decided.
+func countEvents(cfg *Config) map[string]int {
+	n := make(map[string]int)
+	cfg.Trace = func(_ time.Duration, _ flow.IP, event string, _ []any) { n[event]++ }
+	return n
+}
+
+func TestCrashedUpstreamGetsNoNewFlows(t *testing.T) {
+	cfg := registro(6)
+	n := countEvents(&cfg)
+	w := New(cfg)
+	w.At(3*time.Second, func() { w.Agents[0].Upstream.CrashVisibly() })
+	w.Run(9 * time.Second)
+	qt.Assert(t, w.Broken, qt.HasLen, 0)
+	// One bounce tells all agents; a few flows may be on their way meanwhile.
+	qt.Assert(t, n["FirstPacketBounced"] > 0 && n["FirstPacketBounced"] < 10, qt.IsTrue, qt.Commentf("%d", n["FirstPacketBounced"]))
+	qt.Assert(t, served(w, 3*time.Second, 8*time.Second) > 0.95, qt.IsTrue)
+}
+
+func TestFlowIsNotPassedInCircles(t *testing.T) {
+	cfg := registro(7)
+	n := countEvents(&cfg)
+	w := New(cfg)
+	w.At(3*time.Second, func() {
+		for _, p := range w.Agents[:7] {
+			p.Upstream.CrashVisibly()
+		}
+	})
+	w.Run(3200 * time.Millisecond)
+	placed := n["FlowPlaced"]
+	w.Run(6 * time.Second)
+	// No upstream is left: at most each placement of one flow is tried.
+	qt.Assert(t, n["FlowPlaced"]-placed < 5*n["FlowReset"], qt.IsTrue, qt.Commentf("%v", n))
+	qt.Assert(t, n["FlowReset"] > 0, qt.IsTrue)
+}
+
+func TestResetOfAskedUpstreamStaysInside(t *testing.T) {
+	cfg := registro(8)
+	n := countEvents(&cfg)
+	w := New(cfg)
+	w.At(2*time.Second, func() {
+		for _, p := range w.Agents {
+			p.Upstream.ResetsUnknown = true
+		}
+		for _, p := range append(w.Agents, w.Balancers...) {
+			w.Restart(p, 300*time.Millisecond)
+		}
+	})
+	w.Run(8 * time.Second)
+	qt.Assert(t, w.Broken, qt.HasLen, 0)
+	qt.Assert(t, n["UpstreamDisownsFlow"] > 0, qt.IsTrue, qt.Commentf("%v", n))
+}
+
 func TestSameSeedSameResults(t *testing.T) {
 	run := func() []Result {
 		w := New(registro(5))
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -31,16 +31,21 @@
 // Upstream runs requests on a few slots and queues a few more.
 type Upstream struct {
 	Service
-	w        *World
-	p        *Process
-	flows    map[flow.ID]*upstreamFlow
-	alive    bool
+	w     *World
+	p     *Process
+	flows map[flow.ID]*upstreamFlow
+	alive bool
+	// bounces is set while nothing listens on a machine that answers.
+	bounces  bool
 	draining bool
 	born     instant.Instant
 	sequence int64
 	starts   int
 	running  int
 	waiting  []job
+	// ResetsUnknown has packets of unknown flows answered with a reset, as those of a
+	// flow that has ended.
+	ResetsUnknown bool
 	// Ran counts requests that ran, Shed those that were turned away.
 	Ran, Shed int
 	ran       map[uint32]bool
@@ -53,11 +58,17 @@
 // Start starts the upstream under a new name; it knows nothing of before.
 func (u *Upstream) Start() {
 	u.starts++
-	u.alive, u.draining, u.born, u.sequence = true, false, u.w.now, 0
+	u.alive, u.bounces, u.draining, u.born, u.sequence = true, false, false, u.w.now, 0
 	u.flows, u.running, u.waiting = make(map[flow.ID]*upstreamFlow), 0, nil
 	u.beat(u.starts)
 }
 
+// CrashVisibly ends the upstream; its machine bounces what comes for it.
+func (u *Upstream) CrashVisibly() {
+	u.Crash()
+	u.bounces = true
+}
+
 // Crash ends the upstream silently.
 func (u *Upstream) Crash() {
 	u.alive = false
@@ -119,8 +130,12 @@
 func (u *Upstream) receive(b []byte) {
 	start := u.starts
 	u.w.after(100*time.Microsecond, func() {
-		if u.alive && u.starts == start {
+		switch {
+		case u.alive && u.starts == start:
 			u.take(b)
+		case u.bounces:
+			h, _ := readHead(b)
+			u.bounce(h, b)
 		}
 	})
 }
@@ -140,9 +155,12 @@
 		u.send(head{Source: id.Address, Destination: id.Caller, Flags: flow.Syn | flow.Ack, Seq: f.seq, Request: 1}.packet(0))
 		return
 	}
+	if f == nil && u.ResetsUnknown {
+		u.send(head{Source: id.Address, Destination: id.Caller, Flags: flow.Rst, Request: h.Request}.packet(0))
+		return
+	}
 	if f == nil || !f.open && h.Ack-f.seq > 1<<20 {
-		h.Flags |= flow.Bounced
-		u.send(h.packet(len(b) - headLen))
+		u.bounce(h, b)
 		return
 	}
 	f.open = true
@@ -154,6 +172,12 @@
 	}
 }
 
+// bounce gives a packet back to the agent.
+func (u *Upstream) bounce(h head, b []byte) {
+	h.Flags |= flow.Bounced
+	u.send(h.packet(len(b) - headLen))
+}
+
 // admit runs a request, queues it or turns it away.
 func (u *Upstream) admit(j job) {
 	for _, q := range u.waiting {
