Spend fewer calls on the store

Change: three balancers watch, the others hear of a new version from their reports and read the key every 6 s; a process goes on with its predecessor's entry and lease; an entry is written anew only when its upstream begins or stops leaving.

--- a/internal/process/store/etcd.go
+++ b/internal/process/store/etcd.go
@@ -26,7 +26,7 @@
 }
 
 func (w wireKV) kv() KV {
-	return KV{Key(w.Key), w.Value, Revision(w.ModRevision)}
+	return KV{Key: Key(w.Key), Value: w.Value, Revision: Revision(w.ModRevision)}
 }
 
 type header struct {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -61,6 +61,9 @@
 	Key      Key
 	Value    []byte
 	Revision Revision
+	// Lease is the lease that the key ends with, 0 for none or where the gateway
+	// does not tell.
+	Lease LeaseID
 }
 
 // Compare is a condition of a commit: the key was last written at Revision.
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -141,9 +141,10 @@
 		}
 	}
 	if s := a.core.State(); s != a.state {
+		before := a.state
 		a.state = s
 		if a.registry != nil {
-			a.registry.Publish()
+			a.registry.Publish(before, s)
 		}
 	}
 }
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -69,6 +69,11 @@
 	follow.Apply = func(c *routes.Configuration, source string) {
 		b.with(func(core *forwarding.Core) { core.Configure(b.Now(), c, source) })
 	}
+	follow.Watches = func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.core.Watches(b.Now())
+	}
 	b.follower = follower.New(follow, p.Store, p.Journal)
 	b.registry = registry.New(registry.Config{
 		Self: p.Self(), Record: b.record,
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	// checkEvery is how often the key is read although the watch says nothing new:
-	// within the time in which a configuration is to be in force.
-	checkEvery = 2500 * time.Millisecond
+	// checkEvery is how often the key is read although nothing says that it is new.
+	checkEvery = 6 * time.Second
+	// turnEvery is how often a process looks whether it is to watch.
+	turnEvery = 200 * time.Millisecond
 	// retryFirst is the pause after a failed call while there is no configuration,
 	// retryAfter the one after the first failed call later; it doubles up to retryMost.
 	retryFirst = 30 * time.Millisecond
@@ -40,6 +41,9 @@
 	Decode func(value []byte) (c *routes.Configuration, problems []error, err error)
 	// Apply takes in a configuration, which may be older than the one in force.
 	Apply func(c *routes.Configuration, source string)
+	// Watches reports whether this process is among those that watch; the others
+	// hear of changes from them.
+	Watches func() bool
 }
 
 // Follower follows one key.
@@ -157,6 +161,14 @@
 	f.Apply(c, source)
 }
 
+// idle waits until it may be this process's turn to watch.
+func (f *Follower) idle(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(turnEvery):
+	}
+}
+
 // watch follows changes until it is time to read the key again.
 func (f *Follower) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -169,6 +181,10 @@
 		}
 	}()
 	for until := time.Now().Add(checkEvery); time.Now().Before(until) && ctx.Err() == nil; {
+		if !f.Watches() {
+			f.idle(ctx)
+			continue
+		}
 		rev, err := f.store.Watch(ctx, f.Key, f.revision, func(kv store.KV) { f.take(kv, "Watch") })
 		if ctx.Err() != nil || eris.Is(err, store.ErrCompacted) {
 			return nil
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -45,6 +45,9 @@
 	keepWaiting = 1400 * time.Millisecond
 	// maxWaiting bounds the packets that wait.
 	maxWaiting = 1024
+	// watchers is how many balancers watch for new configurations, so that one hears
+	// of them while others fail.
+	watchers = 3
 	// expireEvery is how often hints are swept.
 	expireEvery = 2 * time.Second
 	// isolatedAfter is the silence of all agents after which the balancer says that
@@ -382,6 +385,18 @@
 	c.retry(now)
 }
 
+// Watches reports whether the balancer is among the few that watch the store for
+// new configurations: those with the lowest instances that report.
+func (c *Core) Watches(now instant.Instant) bool {
+	before := 0
+	for _, m := range c.Roster.Balancers() {
+		if m.ID() < c.Self && !m.Suspect(now) && m.State == message.State_StateReady {
+			before++
+		}
+	}
+	return before < watchers
+}
+
 // Stop announces that the process ends.
 func (c *Core) Stop(now instant.Instant) {
 	c.stopping = true
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -96,8 +96,12 @@
 	return r
 }
 
-// Publish has the own entry written soon.
-func (r *Registry) Publish() {
+// Publish has the own entry written soon if a change of state is one that others
+// have to learn from it; of other changes they hear by reports.
+func (r *Registry) Publish(before, now message.State) {
+	if leaving(before) == leaving(now) && now != message.State_StateGone {
+		return
+	}
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -118,8 +122,9 @@
 	}
 }
 
-// step does what is due. The entries are read again once the own entry is
-// written: of two processes that start at once, the later one sees the other.
+// step does what is due. The entries are read again once a first entry is
+// written: of two processes
+// that write at once, the later one sees the other.
 func (r *Registry) step(ctx context.Context) error {
 	if !r.loaded || !time.Now().Before(r.readAt) {
 		if err := r.read(ctx, r.loaded); err != nil {
@@ -134,7 +139,7 @@
 	if !r.dirty {
 		return nil
 	}
-	fresh := r.lease == 0
+	fresh := r.revision == 0
 	if err := r.write(ctx); err != nil || !fresh {
 		return err
 	}
@@ -205,9 +210,8 @@
 			continue
 		}
 		own = true
-		if !stale {
-			r.revision = kv.Revision
-			r.Own(rec)
+		if !r.loaded {
+			r.takeOver(kv, rec)
 		}
 	}
 	if !own && stale && !r.dirty {
@@ -218,6 +222,20 @@
 	return nil
 }
 
+// takeOver goes on with the entry and the lease of an earlier process of the
+// instance, which saves granting and writing anew.
+func (r *Registry) takeOver(kv store.KV, rec *message.Record) {
+	r.Own(rec)
+	now := r.Record()
+	r.revision, r.lease, r.renewAt = kv.Revision, kv.Lease, time.Now()
+	r.dirty = kv.Lease == 0 || rec.Service != now.Service || rec.DataCentre != now.DataCentre || leaving(rec.State) != leaving(now.State)
+}
+
+// leaving reports whether a state is one that others have to learn from the entry.
+func leaving(s message.State) bool {
+	return s == message.State_StateDraining || s == message.State_StateGone
+}
+
 // restore has the own entry written again if it has really vanished.
 func (r *Registry) restore(ctx context.Context, recs []*message.Record) error {
 	kv, err := r.store.Get(ctx, r.key)
