Let new flows wait in front of a full upstream

Cause: after the loss of all processes some 300 new flows come at once.

Change: package waiting lets a new flow pass while its request can still be answered within its aim; the most urgent and the latest go first, late ones fill slots that would stay empty, hopeless ones are refused at once. Agents that have not reported yet are candidates at a cost.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -220,7 +220,7 @@
 	service := r.ServiceOf(hash)
 	m := &message.Carried{
 		Packet: p.Bytes, Service: service, Balancer: uint32(c.Self), DataCentre: c.DataCentre,
-		Priority: r.Priority, AimMillis: uint32(r.Aim / time.Millisecond),
+		Priority: r.Priority, AimMillis: uint32(r.Aim / time.Millisecond), TimeoutMillis: uint32(r.Timeout / time.Millisecond),
 	}
 	if h := c.hints[p.Flow]; h != nil && !p.Opens() {
 		if owner := c.Roster.Member(h.owner); owner != nil && r.Serves(owner.Service) {
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -31,6 +31,10 @@
 	farCost = 0.3
 	// coldFactor is how much longer requests take at an upstream that has just started.
 	coldFactor = 1.6
+	// doubtfulCost is what an upstream adds that may not be ready yet, in rounds of
+	// requests: some tens of milliseconds. unlikelyCost is more than any queue.
+	doubtfulCost = 1.5
+	unlikelyCost = 1000
 	// usualSlots stands in where an upstream has not said how many it has.
 	usualSlots = 4
 )
@@ -57,6 +61,9 @@
 	Agent flow.IP
 	// Far is set where the agent is in another data centre than the caller's.
 	Far bool
+	// Doubtful is set where the agent has not shown that its upstream is ready, and
+	// Unlikely where it should have.
+	Doubtful, Unlikely bool
 }
 
 // Board is what one agent knows about its group's load.
@@ -103,6 +110,12 @@
 		n += farCost
 	}
 	cost := n / float64(slots)
+	if c.Doubtful {
+		cost += doubtfulCost
+	}
+	if c.Unlikely {
+		cost += unlikelyCost
+	}
 	if e.Cold {
 		cost = (cost + 1/float64(slots)) * coldFactor
 	}
--- a/internal/relay/ownership/ownership.go
+++ b/internal/relay/ownership/ownership.go
@@ -54,6 +54,15 @@
 	keepEnded = time.Second
 	// MaxFlows bounds the table.
 	MaxFlows = 1 << 16
+	// openingFor is how long the first request of a new flow is awaited: some times
+	// the way to the caller and back.
+	openingFor = 150 * time.Millisecond
+	// usualWork is taken for the time of a request until some were seen.
+	usualWork = 30 * time.Millisecond
+	// usualTimeout stands in for the deadline of a route that gives none.
+	usualTimeout = 5 * time.Second
+	// workShare is the share of a new observation in the usual time of a request.
+	workShare = 0.05
 	// sequenceWindow is how far the acknowledged position of an open flow may be
 	// from the one that the upstream began with.
 	sequenceWindow = 1 << 26
@@ -76,12 +85,31 @@
 	// Asker is the agent that wants to know whether the upstream holds the flow, 0 for none.
 	Asker flow.IP
 
-	accepted         uint32
-	isAccepted       bool
-	busy             bool
+	accepted      uint32
+	isAccepted    bool
+	busy, opening bool
+	// asked is when the request in progress began, unqueued is set if a slot was free.
+	asked            instant.Instant
+	unqueued         bool
 	callerEnd, ended bool
 	// Requests counts the requests seen.
 	Requests int
+	// Timeout is the deadline of the route's requests, 0 if unknown.
+	Timeout time.Duration
+
+	// high is the end of the caller's data so far, once hasHigh is set.
+	high    uint32
+	hasHigh bool
+}
+
+// isNew reports whether a caller's packet carries data that was not seen before.
+func (f *Flow) isNew(p flow.Packet) bool {
+	end := p.Seq + uint32(p.Len)
+	if p.Len == 0 || f.hasHigh && int32(end-f.high) <= 0 {
+		return false
+	}
+	f.high, f.hasHigh = end, true
+	return true
 }
 
 // Busy reports whether a request is in progress.
@@ -92,10 +120,55 @@
 	flows map[flow.ID]*Flow
 	busy  int
 	open  int
+	// opening counts flows whose first request is still to come; order lists them by
+	// the time when they were offered.
+	opening int
+	order   []*Flow
+	slots   int
+	work    time.Duration
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{flows: make(map[flow.ID]*Flow)} }
+func New() *Table { return &Table{flows: make(map[flow.ID]*Flow), slots: 1, work: usualWork} }
+
+// SetSlots says how many requests the upstream runs at a time.
+func (t *Table) SetSlots(n int) { t.slots = max(n, 1) }
+
+// Work returns the usual time of a request that finds a free slot.
+func (t *Table) Work() time.Duration { return t.work }
+
+// InSystem returns the number of requests that run, queue or are about to come.
+func (t *Table) InSystem(now instant.Instant) int {
+	for len(t.order) > 0 && (!t.order[0].opening || now.Sub(t.order[0].Began) > openingFor) {
+		t.setOpening(t.order[0], false)
+		t.order = t.order[1:]
+	}
+	return t.busy + t.opening
+}
+
+// endOverdue takes requests for ended whose callers have given up.
+func (t *Table) endOverdue(now instant.Instant, f *Flow) {
+	timeout := f.Timeout
+	if timeout == 0 {
+		timeout = usualTimeout
+	}
+	if f.busy && now.Sub(f.asked) > timeout {
+		t.setBusy(f, false)
+	}
+}
+
+func (t *Table) setOpening(f *Flow, opening bool) {
+	if f.opening == opening {
+		return
+	}
+	f.opening = opening
+	if opening {
+		t.opening++
+		t.order = append(t.order, f)
+	} else {
+		t.opening--
+	}
+}
 
 // Get returns a flow, nil where it is not known.
 func (t *Table) Get(id flow.ID) *Flow { return t.flows[id] }
@@ -143,6 +216,7 @@
 	}
 	delete(t.flows, f.ID)
 	t.setBusy(f, false)
+	t.setOpening(f, false)
 	if f.Phase == Open {
 		t.open--
 	}
@@ -162,7 +236,11 @@
 
 // Offer notes that the first packet of a flow is delivered.
 func (t *Table) Offer(now instant.Instant, p flow.Packet) *Flow {
-	return t.get(now, p.Flow, Offered)
+	f := t.get(now, p.Flow, Offered)
+	if f.Phase == Offered && f.Began == now && t.flows[f.ID] == f {
+		t.setOpening(f, true)
+	}
+	return f
 }
 
 // Foreign reports whether the packet belongs to a flow that opened at another
@@ -178,11 +256,16 @@
 	if f.Phase == Accepted {
 		t.advance(f, Open)
 	}
-	if p.Len > 0 && !f.busy && t.flows[f.ID] == f && f.Phase == Open {
+	if f.isNew(p) && !f.busy && t.flows[f.ID] == f && f.Phase == Open {
 		f.Requests++
+		f.asked, f.unqueued = now, t.busy < t.slots
+		t.setOpening(f, false)
 		t.setBusy(f, true)
 	}
-	if p.Flags.Has(flow.Fin) {
+	switch {
+	case p.Flags.Has(flow.Rst):
+		t.Drop(f)
+	case p.Flags.Has(flow.Fin):
 		f.callerEnd = true
 	}
 	return f
@@ -199,7 +282,10 @@
 		return f, found
 	}
 	f = t.get(now, p.Flow, Open)
-	if p.Len > 0 {
+	if p.Len > 0 && f.busy {
+		if f.unqueued {
+			t.work += time.Duration(workShare * float64(now.Sub(f.asked)-t.work))
+		}
 		t.setBusy(f, false)
 	}
 	switch {
@@ -214,6 +300,7 @@
 // Expire forgets flows that were not used for long.
 func (t *Table) Expire(now instant.Instant) {
 	for _, f := range t.flows {
+		t.endOverdue(now, f)
 		keep := KeepOpen
 		switch {
 		case f.ended && f.callerEnd:
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -65,7 +65,7 @@
 	candidates := c.candidates(now, m)
 	to, ok := c.board.Choose(candidates)
 	if !ok || len(m.Excluded) >= maxPlacements {
-		c.refuse(now, p, m)
+		c.refuse(now, p, m, "NoUpstreamTakesFlows")
 		return
 	}
 	c.Counts.Placed++
@@ -76,21 +76,28 @@
 	c.carry(now, to, m, message.Step_StepPlace)
 }
 
-// candidates lists the agents that may take a new flow: those that are ready and
-// report, else those that may be ready.
+// candidates lists the agents that may take a new flow. Those that have not
+// reported yet are less likely, but after a loss of many processes the first ones
+// that report must not get all flows.
 func (c *Core) candidates(now instant.Instant, m *message.Carried) []load.Candidate {
-	var ready, maybe []load.Candidate
+	var out []load.Candidate
 	add := func(id flow.IP, dataCentre string, state message.State, suspect bool) {
 		if slices.Contains(m.Excluded, uint32(id)) {
 			return
 		}
 		cand := load.Candidate{Agent: id, Far: dataCentre != m.DataCentre}
-		switch {
-		case state == message.State_StateReady && !suspect:
-			ready = append(ready, cand)
-		case state == message.State_StateReady, state == message.State_StateUnknown, state == message.State_StateSilent:
-			maybe = append(maybe, cand)
+		switch state {
+		case message.State_StateReady:
+			cand.Doubtful = suspect
+		case message.State_StateUnknown:
+			cand.Doubtful = true
+		case message.State_StateSilent:
+			cand.Doubtful, cand.Unlikely = true, true
+		default:
+			return
 		}
+		cand.Unlikely = cand.Unlikely || suspect && !c.young(now)
+		out = append(out, cand)
 	}
 	add(c.Self, c.DataCentre, c.state, false)
 	for _, r := range c.Roster.Group(c.Service) {
@@ -98,16 +105,17 @@
 			add(r.ID(), r.DataCentre, r.State, r.Suspect(now))
 		}
 	}
-	if len(ready) > 0 {
-		return ready
-	}
-	return maybe
+	return out
 }
 
+// young reports whether the process has started so lately that peers may not have
+// reported yet.
+func (c *Core) young(now instant.Instant) bool { return now.Sub(c.Started) < roster.SettleAfter }
+
 // refuse turns a new flow away that no upstream can take; it has not run.
-func (c *Core) refuse(now instant.Instant, p flow.Packet, m *message.Carried) {
+func (c *Core) refuse(now instant.Instant, p flow.Packet, m *message.Carried, reason string) {
 	c.Counts.Refused++
-	c.reset(p.Flow, 0, "NoUpstreamTakesFlows", "Members", len(c.Roster.Group(c.Service)), "Excluded", len(m.Excluded))
+	c.reset(p.Flow, 0, reason, "InSystem", c.table.InSystem(now), "Waiting", c.room.Len(), "Members", len(c.Roster.Group(c.Service)), "Excluded", len(m.Excluded))
 	c.directory.Disown(p.Flow)
 }
 
@@ -186,6 +194,7 @@
 func (c *Core) probe(now instant.Instant, to flow.IP, m *message.Carried) {
 	c.carry(now, to, &message.Carried{
 		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
+		TimeoutMillis: m.TimeoutMillis,
 	}, message.Step_StepProbe)
 }
 
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
@@ -9,6 +10,7 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/ownership"
 	"github.com/jaytack/jaytack/internal/relay/roster"
+	"github.com/jaytack/jaytack/internal/relay/waiting"
 )
 
 // offer delivers the first packet of a flow that was placed here.
@@ -21,11 +23,73 @@
 		c.passOn(now, p, m)
 		return
 	}
+	if f := c.table.Get(p.Flow); f != nil && f.Phase >= ownership.Offered {
+		c.offerNow(now, p, m)
+		return
+	}
+	left := openingLeft(p.AckSeq)
+	e := &waiting.Entry{
+		Flow: p.Flow, Carried: m, Asked: now.Add(left - opensFor), Until: now.Add(left),
+		Aim: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
+	}
+	s := c.fullness(now)
+	switch {
+	case c.room.Len() == 0 && waiting.Passes(now, e, s):
+		c.offerNow(now, p, m)
+	case c.room.Add(now, e, s):
+		c.Counts.Waited++
+		c.note("FlowWaits", "Flow", p.Flow, "InSystem", s.InSystem, "Work", s.Work, "Waiting", c.room.Len(), "Copy", p.AckSeq)
+		c.letPass(now)
+	default:
+		c.refuse(now, p, m, "UpstreamFull")
+	}
+}
+
+// openingLeft returns for how much longer a caller tries to open a flow when it
+// sends a copy of the first packet.
+func openingLeft(copies uint32) time.Duration {
+	sent := [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+	return opensFor - sent[min(int(copies), len(sent)-1)]
+}
+
+// fullness returns how full the upstream is.
+func (c *Core) fullness(now instant.Instant) waiting.State {
+	return waiting.State{Slots: c.slots(), InSystem: c.table.InSystem(now), Work: c.table.Work()}
+}
+
+func (c *Core) slots() int {
+	if c.up.Slots > 0 {
+		return c.up.Slots
+	}
+	return usualSlots
+}
+
+// letPass offers flows that wait as far as the upstream has room.
+func (c *Core) letPass(now instant.Instant) {
+	for {
+		e, ok := c.room.Next(now, c.fullness(now))
+		if !ok {
+			return
+		}
+		p, ok := c.Codec.FromCaller(e.Carried.Packet)
+		if !ok {
+			continue
+		}
+		if c.closedForNew() {
+			c.passOn(now, p, e.Carried)
+			continue
+		}
+		c.offerNow(now, p, e.Carried)
+	}
+}
+
+// offerNow delivers the first packet of a flow.
+func (c *Core) offerNow(now instant.Instant, p flow.Packet, m *message.Carried) {
 	f := c.table.Offer(now, p)
 	c.via(f, m)
 	f.Excluded = m.Excluded
 	c.await(now, &c.up.openingSince, &c.up.owesOpening)
-	c.deliver(now, c.Self, m, p)
+	c.deliver(now, m, p)
 }
 
 // closedForNew reports whether the upstream takes no new flows.
@@ -41,7 +105,7 @@
 }
 
 func (c *Core) via(f *ownership.Flow, m *message.Carried) {
-	f.Balancer, f.DataCentre = flow.IP(m.Balancer), m.DataCentre
+	f.Balancer, f.DataCentre, f.Timeout = flow.IP(m.Balancer), m.DataCentre, time.Duration(m.TimeoutMillis)*time.Millisecond
 }
 
 // asOwner delivers a packet of a flow that is taken to be open here.
@@ -76,7 +140,7 @@
 	if p.Len > 0 {
 		c.await(now, &c.up.dataSince, &c.up.owesData)
 	}
-	c.deliver(now, c.Self, m, p)
+	c.deliver(now, m, p)
 }
 
 // await notes that the upstream owes an answer.
@@ -88,20 +152,17 @@
 
 // deliver hands a packet to the upstream, and keeps it while the upstream may not
 // be listening yet.
-func (c *Core) deliver(now instant.Instant, from flow.IP, m *message.Carried, p flow.Packet) {
+func (c *Core) deliver(now instant.Instant, m *message.Carried, p flow.Packet) {
 	c.Counts.Delivered++
 	c.do(Action{Kind: Deliver, Flow: p.Flow, Bytes: m.Packet})
-	if c.state == message.State_StateUnknown || c.state == message.State_StateSilent {
-		c.wait(now, from, m)
+	if c.state != message.State_StateUnknown && c.state != message.State_StateSilent {
+		return
 	}
-}
-
-func (c *Core) wait(now instant.Instant, from flow.IP, m *message.Carried) {
-	if len(c.waiting) >= maxWaiting {
+	if len(c.missed) >= maxMissed {
 		c.Counts.Overflowed++
 		return
 	}
-	c.waiting = append(c.waiting, waiting{now, m, from})
+	c.missed = append(c.missed, missed{now, m.Packet})
 }
 
 // probed finds out whether the upstream holds a flow.
@@ -175,6 +236,7 @@
 	if found {
 		c.opened(now, f, p)
 	}
+	c.letPass(now)
 }
 
 // disowned handles a reset of a flow that the upstream has not shown to hold: it
@@ -226,7 +288,7 @@
 			c.table.Drop(f)
 		}
 		c.note("FirstPacketBounced", "Flow", p.Flow, "Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
-		c.up.refuses = true
+		c.up.refuses = now.Sub(c.up.heard) > bouncesAfter
 		c.announce(now)
 		c.passOn(now, p, m)
 	case f != nil && f.Phase == ownership.Open:
@@ -259,6 +321,7 @@
 	}
 	replaced := c.up.known && h.Born > old.Born
 	c.up.Heartbeat, c.up.known = h, true
+	c.table.SetSlots(c.slots())
 	c.up.beat = now
 	c.up.gone, c.up.endAt = false, 0
 	c.up.coldUntil = now.Add(h.ColdFor)
@@ -302,16 +365,15 @@
 func (c *Core) alive(now instant.Instant) {
 	c.up.heard, c.up.refuses = now, false
 	c.up.owesOpening, c.up.owesData = false, false
-	missed := c.state == message.State_StateUnknown || c.state == message.State_StateSilent
-	if !missed {
+	if c.state != message.State_StateUnknown && c.state != message.State_StateSilent {
 		return
 	}
 	c.announce(now)
-	queue := c.waiting
-	c.waiting = nil
-	for _, w := range queue {
-		if now.Sub(w.at) < keepWaiting {
-			c.do(Action{Kind: Deliver, Bytes: w.carried.Packet})
+	queue := c.missed
+	c.missed = nil
+	for _, m := range queue {
+		if now.Sub(m.at) < keepMissed {
+			c.do(Action{Kind: Deliver, Bytes: m.packet})
 		}
 	}
 }
@@ -352,11 +414,11 @@
 
 // Record returns what the agent announces.
 func (c *Core) Record(now instant.Instant) *message.Record {
-	busy, idle := c.table.Load()
+	_, idle := c.table.Load()
 	return &message.Record{
 		Instance: uint32(c.Self), Service: c.Service, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence,
 		State: c.state, Upstream: c.up.Upstream, UpstreamBorn: c.up.Born, Slots: uint32(c.up.Slots),
-		Busy: uint32(busy), Idle: uint32(idle), Cold: c.up.coldUntil > now,
+		Busy: uint32(c.table.InSystem(now) + c.room.Len()), Idle: uint32(idle), Cold: c.up.coldUntil > now,
 	}
 }
 
@@ -367,8 +429,9 @@
 		c.up.endAt = 0
 		c.endFlows(now, "UpstreamLeft")
 	}
-	busy, idle := c.table.Load()
-	c.board.Update(c.Self, load.Signal{Slots: c.up.Slots, Busy: busy, Idle: idle, Cold: c.up.coldUntil > now})
+	c.letPass(now)
+	_, idle := c.table.Load()
+	c.board.Update(c.Self, load.Signal{Slots: c.up.Slots, Busy: c.table.InSystem(now) + c.room.Len(), Idle: idle, Cold: c.up.coldUntil > now})
 	if now >= c.expireAt {
 		c.expireAt = now.Add(expireEvery)
 		c.expire(now)
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -34,6 +34,7 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/ownership"
 	"github.com/jaytack/jaytack/internal/relay/roster"
+	"github.com/jaytack/jaytack/internal/relay/waiting"
 )
 
 // Times and bounds of the protocol.
@@ -55,15 +56,22 @@
 	// askAgainAfter is how long a search waits before agents are asked again that
 	// have not answered: longer than the way there and back between data centres.
 	askAgainAfter = 100 * time.Millisecond
-	// keepWaiting is how long packets wait for an upstream or for the roster: the
-	// time for which callers try to open a flow.
-	keepWaiting = 1400 * time.Millisecond
+	// keepMissed is how long packets are kept for an upstream that may not listen
+	// yet: the time for which callers try to open a flow.
+	keepMissed = 1400 * time.Millisecond
+	// bouncesAfter is the silence after which a bounced first packet means that the
+	// upstream is down; one that answers is full for a moment.
+	bouncesAfter = 50 * time.Millisecond
+	// opensFor is how long callers try to open a flow.
+	opensFor = 1400 * time.Millisecond
+	// usualSlots is taken for the slots of an upstream that has not said how many.
+	usualSlots = 4
 	// endAfterLeave is the time between an upstream's leave and its end.
 	endAfterLeave = 300 * time.Millisecond
 	// maxListed bounds the members that a denial lists, so that it fits a datagram.
 	maxListed = 200
-	// maxWaiting bounds the packets that wait.
-	maxWaiting = 512
+	// maxMissed bounds the packets that are kept.
+	maxMissed = 512
 	// maxPlacements bounds how often a new flow is passed on to another agent.
 	maxPlacements = 4
 	// claimsPerTick bounds the claims after a change of homes.
@@ -77,6 +85,8 @@
 	DataCentre  string
 	Incarnation uint64
 	Codec       flow.Codec
+	// Started is when the process started.
+	Started instant.Instant
 }
 
 // Heartbeat is what an upstream says about itself.
@@ -125,14 +135,13 @@
 
 // Counts counts decisions since the start.
 type Counts struct {
-	Delivered, Replied, Bounced, Placed, Redirected, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
+	Delivered, Replied, Bounced, Placed, Redirected, Waited, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
 }
 
-// waiting is a packet that was delivered to an upstream that has not been heard since.
-type waiting struct {
-	at      instant.Instant
-	carried *message.Carried
-	from    flow.IP
+// missed is a packet that was delivered to an upstream that has not been heard since.
+type missed struct {
+	at     instant.Instant
+	packet []byte
 }
 
 // upstream is what the agent knows about its upstream.
@@ -160,12 +169,13 @@
 
 	directory *directory.Directory
 	table     *ownership.Table
+	room      *waiting.Room
 	board     *load.Board
 	up        upstream
 	sequence  uint64
 	state     message.State
 	stopping  bool
-	waiting   []waiting
+	missed    []missed
 
 	groupAt, balancersAt, expireAt instant.Instant
 	changes                        uint64
@@ -179,7 +189,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		Config: cfg, Roster: roster.New(cfg.Self, cfg.DataCentre),
-		directory: directory.New(), table: ownership.New(), board: load.New(),
+		directory: directory.New(), table: ownership.New(), board: load.New(), room: waiting.New(),
 	}
 	c.announce(0)
 	return c
--- /dev/null
+++ b/internal/relay/waiting/waiting.go
@@ -0,0 +1,154 @@
+// Package waiting holds new flows back in front of an upstream that is full.
+//
+// It answers the load after an outage and at a burst: more new flows than the
+// slots can serve within their aim, on upstreams that are slow after their start.
+// Handed over at once they fill the upstream's queue, every request comes late,
+// and what does not fit is turned away although it could have waited. A new flow
+// therefore passes only while its request can still be answered within its aim.
+// Of those that wait, the ones that can be in time go first, the most urgent route
+// before others and the latest comer before earlier ones; those that are late
+// anyway fill slots that would stay empty. A flow that cannot have its turn before
+// its caller gives up is refused at once.
+//
+// # Usage
+//
+//	r := waiting.New()
+//	if !r.Add(now, e, s) {
+//		refuse(e)
+//	}
+//	for e, ok := r.Next(now, s); ok; e, ok = r.Next(now, s) {
+//		deliver(e)
+//		s.InSystem++
+//	}
+//
+// The package does no input or output. A Room must not be shared without a lock.
+package waiting
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/message"
+)
+
+const (
+	// MaxFlows bounds the flows that wait at one upstream.
+	MaxFlows = 512
+	// usualAim stands in where a route gives no aim.
+	usualAim = 500 * time.Millisecond
+	// overhead is what the way to the upstream and back takes of the aim.
+	overhead = 20 * time.Millisecond
+	// lateSlack is how many requests beyond the slots may be in the system when a
+	// late one passes, so that no slot falls idle between two.
+	lateSlack = 1
+)
+
+// State is how full the upstream is.
+type State struct {
+	// Slots is the number of requests that run at a time, InSystem those that run,
+	// queue or are about to come.
+	Slots, InSystem int
+	// Work is the usual time of a request without a queue.
+	Work time.Duration
+}
+
+// wait returns the expected time until a request that comes now is answered.
+func (s State) wait() time.Duration {
+	rounds := float64(s.InSystem+1) / float64(max(s.Slots, 1))
+	return time.Duration(max(rounds, 1) * float64(s.Work))
+}
+
+// Entry is a new flow that waits.
+type Entry struct {
+	Flow    flow.ID
+	Carried *message.Carried
+	From    flow.IP
+	// Asked is when the caller first asked, Until is when it gives up.
+	Asked, Until instant.Instant
+	Aim          time.Duration
+	Priority     uint32
+}
+
+func (e *Entry) aim() time.Duration {
+	if e.Aim == 0 {
+		return usualAim
+	}
+	return e.Aim
+}
+
+// inTime reports whether a request that starts to wait for a slot now is answered
+// within its aim.
+func (e *Entry) inTime(now instant.Instant, s State) bool {
+	return now.Sub(e.Asked)+overhead+s.wait() <= e.aim()
+}
+
+// hopeful reports whether the request could be in time at an empty upstream.
+func (e *Entry) hopeful(now instant.Instant, s State) bool {
+	return now.Sub(e.Asked)+overhead+s.Work <= e.aim()
+}
+
+// Room is the flows that wait at one upstream.
+type Room struct {
+	entries []*Entry
+}
+
+// New returns an empty room.
+func New() *Room { return &Room{} }
+
+// Len returns the number of flows that wait.
+func (r *Room) Len() int { return len(r.entries) }
+
+// Passes reports whether a flow may go to the upstream at once.
+func Passes(now instant.Instant, e *Entry, s State) bool {
+	return s.InSystem < s.Slots+lateSlack || e.inTime(now, s)
+}
+
+// Add has a flow wait, or takes in a copy of one that waits. It returns false for
+// a flow that would not have its turn in time.
+func (r *Room) Add(now instant.Instant, e *Entry, s State) bool {
+	for _, x := range r.entries {
+		if x.Flow == e.Flow {
+			x.Carried, x.Until = e.Carried, e.Until
+			return true
+		}
+	}
+	turn := time.Duration(float64(len(r.entries)+1) / float64(max(s.Slots, 1)) * float64(s.Work))
+	if len(r.entries) >= MaxFlows || now.Add(turn) > e.Until {
+		return false
+	}
+	r.entries = append(r.entries, e)
+	return true
+}
+
+// Next takes the flow out whose turn it is; ok is false where none may pass.
+func (r *Room) Next(now instant.Instant, s State) (e *Entry, ok bool) {
+	r.entries = slices.DeleteFunc(r.entries, func(x *Entry) bool { return x.Until < now })
+	best := -1
+	for i, x := range r.entries {
+		if best < 0 || r.before(now, s, x, r.entries[best]) {
+			best = i
+		}
+	}
+	if best < 0 || !Passes(now, r.entries[best], s) {
+		return nil, false
+	}
+	e = r.entries[best]
+	r.entries = slices.Delete(r.entries, best, best+1)
+	return e, true
+}
+
+// before reports whether a goes before b.
+func (r *Room) before(now instant.Instant, s State, a, b *Entry) bool {
+	x, y := a.hopeful(now, s), b.hopeful(now, s)
+	switch {
+	case x != y:
+		return x
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	case x:
+		return a.Asked > b.Asked
+	}
+	return a.Until < b.Until
+}
