Bound the requests in an upstream's system, and pass on from full agents

Change: three rounds of requests at most; work counts as longer while the upstream is cold; a bounce makes an upstream refuse from the start; a full agent passes a flow on before it refuses it.

--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -29,8 +29,8 @@
 	// farCost is what another data centre adds: two crossings of some milliseconds
 	// against a request of some tens.
 	farCost = 0.3
-	// coldFactor is how much longer requests take at an upstream that has just started.
-	coldFactor = 1.6
+	// ColdFactor is how much longer requests take at an upstream that has just started.
+	ColdFactor = 1.6
 	// doubtfulCost is what an upstream adds that may not be ready yet, in rounds of
 	// requests: some tens of milliseconds. unlikelyCost is more than any queue.
 	doubtfulCost = 1.5
@@ -117,7 +117,7 @@
 		cost += unlikelyCost
 	}
 	if e.Cold {
-		cost = (cost + 1/float64(slots)) * coldFactor
+		cost = (cost + 1/float64(slots)) * ColdFactor
 	}
 	return cost
 }
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -40,6 +40,8 @@
 		c.Counts.Waited++
 		c.note("FlowWaits", "Flow", p.Flow, "InSystem", s.InSystem, "Work", s.Work, "Waiting", c.room.Len(), "Copy", p.AckSeq)
 		c.letPass(now)
+	case len(m.Excluded) < maxPlacements && len(c.Roster.Group(c.Service)) > 1:
+		c.passOn(now, p, m)
 	default:
 		c.refuse(now, p, m, "UpstreamFull")
 	}
@@ -54,7 +56,11 @@
 
 // fullness returns how full the upstream is.
 func (c *Core) fullness(now instant.Instant) waiting.State {
-	return waiting.State{Slots: c.slots(), InSystem: c.table.InSystem(now), Work: c.table.Work()}
+	work := c.table.Work()
+	if c.up.coldUntil > now {
+		work = time.Duration(load.ColdFactor * float64(work))
+	}
+	return waiting.State{Slots: c.slots(), InSystem: c.table.InSystem(now), Work: work}
 }
 
 func (c *Core) slots() int {
@@ -387,7 +393,9 @@
 		return message.State_StateRestarting
 	case c.up.Draining:
 		return message.State_StateDraining
-	case c.up.refuses, c.up.owesOpening && now.Sub(c.up.openingSince) > silentAfterOpening,
+	case c.up.refuses:
+		return message.State_StateSilent
+	case c.up.owesOpening && now.Sub(c.up.openingSince) > silentAfterOpening,
 		c.up.owesData && now.Sub(c.up.dataSince) > silentAfterData:
 		if c.state == message.State_StateUnknown {
 			return c.state
--- a/internal/relay/waiting/waiting.go
+++ b/internal/relay/waiting/waiting.go
@@ -40,6 +40,9 @@
 	usualAim = 500 * time.Millisecond
 	// overhead is what the way to the upstream and back takes of the aim.
 	overhead = 20 * time.Millisecond
+	// maxRounds bounds the requests in the system by the slots: upstreams queue a few
+	// requests for each slot and turn away what is more.
+	maxRounds = 3
 	// lateSlack is how many requests beyond the slots may be in the system when a
 	// late one passes, so that no slot falls idle between two.
 	lateSlack = 1
@@ -81,7 +84,7 @@
 // inTime reports whether a request that starts to wait for a slot now is answered
 // within its aim.
 func (e *Entry) inTime(now instant.Instant, s State) bool {
-	return now.Sub(e.Asked)+overhead+s.wait() <= e.aim()
+	return s.InSystem < maxRounds*s.Slots && now.Sub(e.Asked)+overhead+s.wait() <= e.aim()
 }
 
 // hopeful reports whether the request could be in time at an empty upstream.
