Carry waiting times with packets and place again at the home

A flow that a full agent passed on was placed by that agent, not by its home, so copies went to the first agent and waited there once more; and agents did not know how long balancers had held a packet, so flows whose callers had given up took places.

Change: packets carry how long they waited; agents give flows back to the home; late flows pass up to two rounds, since a new flow's request comes one way to the caller and back after its first packet.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -105,6 +105,8 @@
 
 type waiting struct {
 	id flow.ID
+	// since is when the packet came.
+	since instant.Instant
 	// until is when the caller has given up.
 	until instant.Instant
 	opens bool
@@ -188,10 +190,11 @@
 		c.Counts.Unreadable++
 		return
 	}
-	c.forward(now, p)
+	c.forward(now, p, 0)
 }
 
-func (c *Core) forward(now instant.Instant, p flow.Packet) {
+// forward sends a packet on that has waited here for a time.
+func (c *Core) forward(now instant.Instant, p flow.Packet, waited time.Duration) {
 	route, known := c.Routes.Lookup(p.Flow.Address)
 	switch {
 	case !known:
@@ -199,7 +202,7 @@
 	case route == nil:
 		c.unrouted(p)
 	default:
-		c.route(now, p, route)
+		c.route(now, p, waited, route)
 	}
 }
 
@@ -215,12 +218,12 @@
 }
 
 // route sends a packet to the flow's owner or to its home.
-func (c *Core) route(now instant.Instant, p flow.Packet, r *routes.Route) {
+func (c *Core) route(now instant.Instant, p flow.Packet, waited time.Duration, r *routes.Route) {
 	hash := p.Flow.Hash()
 	service := r.ServiceOf(hash)
 	m := &message.Carried{
 		Packet: p.Bytes, Service: service, Balancer: uint32(c.Self), DataCentre: c.DataCentre,
-		Priority: r.Priority, AimMillis: uint32(r.Aim / time.Millisecond), TimeoutMillis: uint32(r.Timeout / time.Millisecond),
+		WaitedMillis: uint32(waited / time.Millisecond), Priority: r.Priority, AimMillis: uint32(r.Aim / time.Millisecond), TimeoutMillis: uint32(r.Timeout / time.Millisecond),
 	}
 	if h := c.hints[p.Flow]; h != nil && !p.Opens() {
 		if owner := c.Roster.Member(h.owner); owner != nil && r.Serves(owner.Service) {
@@ -261,7 +264,7 @@
 // wait keeps a packet until there is a configuration and an agent. Of the copies
 // of a first packet the last is kept.
 func (c *Core) wait(now instant.Instant, p flow.Packet) {
-	w := waiting{id: p.Flow, until: now.Add(keepWaiting), opens: p.Opens(), bytes: bytes.Clone(p.Bytes)}
+	w := waiting{id: p.Flow, since: now, until: now.Add(keepWaiting), opens: p.Opens(), bytes: bytes.Clone(p.Bytes)}
 	if w.opens {
 		w.until = now.Add(openingLeft(p.AckSeq))
 		for i := range c.waiting {
@@ -300,9 +303,9 @@
 			continue
 		}
 		before := len(c.waiting)
-		c.forward(now, p)
+		c.forward(now, p, now.Sub(w.since))
 		if len(c.waiting) > before {
-			c.waiting[before].until = w.until
+			c.waiting[before].since, c.waiting[before].until = w.since, w.until
 		}
 	}
 }
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -27,9 +27,13 @@
 		c.offerNow(now, p, m)
 		return
 	}
-	left := openingLeft(p.AckSeq)
+	left := openingLeft(p.AckSeq) - time.Duration(m.WaitedMillis)*time.Millisecond
+	if left < 0 {
+		c.note("FlowGivenUp", "Flow", p.Flow, "Copy", p.AckSeq, "Waited", m.WaitedMillis)
+		return
+	}
 	e := &waiting.Entry{
-		Flow: p.Flow, Carried: m, Asked: now.Add(left - opensFor), Until: now.Add(left),
+		Flow: p.Flow, Carried: m, Asked: now.Add(left - opensFor), Until: now.Add(left), Came: now,
 		Aim: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
 	}
 	s := c.fullness(now)
@@ -81,6 +85,7 @@
 		if !ok {
 			continue
 		}
+		e.Carried.WaitedMillis += uint32(now.Sub(e.Came) / time.Millisecond)
 		if c.closedForNew() {
 			c.passOn(now, p, e.Carried)
 			continue
@@ -107,7 +112,11 @@
 func (c *Core) passOn(now instant.Instant, p flow.Packet, m *message.Carried) {
 	c.Counts.Redirected++
 	m.Excluded = append(m.Excluded, uint32(c.Self))
-	c.place(now, p, m)
+	home, ok := c.Roster.Home(now, c.Service, m.DataCentre, p.Flow.Hash())
+	if !ok {
+		home = c.Self
+	}
+	c.carry(now, home, m, message.Step_StepHome)
 }
 
 func (c *Core) via(f *ownership.Flow, m *message.Carried) {
--- a/internal/relay/waiting/waiting.go
+++ b/internal/relay/waiting/waiting.go
@@ -43,9 +43,10 @@
 	// maxRounds bounds the requests in the system by the slots: upstreams queue a few
 	// requests for each slot and turn away what is more.
 	maxRounds = 3
-	// lateSlack is how many requests beyond the slots may be in the system when a
-	// late one passes, so that no slot falls idle between two.
-	lateSlack = 1
+	// lateRounds bounds the requests in the system, by the slots, when a late one
+	// passes: a new flow's request comes one way to the caller and back later, and
+	// no slot is to fall idle meanwhile.
+	lateRounds = 2
 )
 
 // State is how full the upstream is.
@@ -68,10 +69,11 @@
 	Flow    flow.ID
 	Carried *message.Carried
 	From    flow.IP
-	// Asked is when the caller first asked, Until is when it gives up.
-	Asked, Until instant.Instant
-	Aim          time.Duration
-	Priority     uint32
+	// Asked is when the caller first asked, Until is when it gives up, Came is when
+	// the packet came here.
+	Asked, Until, Came instant.Instant
+	Aim                time.Duration
+	Priority           uint32
 }
 
 func (e *Entry) aim() time.Duration {
@@ -105,7 +107,7 @@
 
 // Passes reports whether a flow may go to the upstream at once.
 func Passes(now instant.Instant, e *Entry, s State) bool {
-	return s.InSystem < s.Slots+lateSlack || e.inTime(now, s)
+	return s.InSystem < lateRounds*s.Slots || e.inTime(now, s)
 }
 
 // Add has a flow wait, or takes in a copy of one that waits. It returns false for
@@ -113,7 +115,7 @@
 func (r *Room) Add(now instant.Instant, e *Entry, s State) bool {
 	for _, x := range r.entries {
 		if x.Flow == e.Flow {
-			x.Carried, x.Until = e.Carried, e.Until
+			x.Carried, x.Until, x.Came = e.Carried, e.Until, e.Came
 			return true
 		}
 	}
