End no flow on what a late heartbeat or leave says, and serve metrics

Cause: an agent that has just started believes the first heartbeat that it gets. A restarted agent let new flows reach an upstream that had told its predecessor that it drains. SIGHUP before the process waits for signals would have ended it.

--- a/cmd/jaytackd/main.go
+++ b/cmd/jaytackd/main.go
@@ -32,7 +32,9 @@
 
 // commandLine is everything that can be asked of the program.
 type commandLine struct {
-	Settings string   `type:"path" help:"The settings file; else the platform's variable or its usual place."`
+	Settings    string `type:"path" help:"The settings file; else the platform's variable or its usual place."`
+	MetricsPort uint16 `help:"Where the process's metrics are served at /debug/vars; nowhere by default."`
+
 	Balancer struct{} `cmd:"" help:"Run a balancer."`
 	Agent    struct{} `cmd:"" help:"Run the agent beside an upstream."`
 }
@@ -40,7 +42,7 @@
 func main() {
 	var line commandLine
 	ctx := kong.Parse(&line, kong.Name("jaytackd"), kong.Description("Relays flows as a balancer or as an agent."))
-	if err := run(ctx.Command(), settingsPath(line.Settings)); err != nil {
+	if err := run(ctx.Command(), settingsPath(line.Settings), line.MetricsPort); err != nil {
 		fmt.Fprintln(os.Stderr, "jaytackd:", err)
 		os.Exit(1)
 	}
@@ -62,7 +64,7 @@
 	Close()
 }
 
-func run(role, path string) error {
+func run(role, path string, metricsPort uint16) error {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -72,7 +74,7 @@
 	m := metrics.New()
 	m.Func("LogLinesDropped", func() any { return out.Dropped() })
 	p := process.New(process.Config{
-		Settings: s, Codec: platform.Codec(), Gateway: platform.Store(), Journal: journal.New(out, journal.Info, decisionLines), Metrics: m,
+		Settings: s, Codec: platform.Codec(), Gateway: platform.Store(), Journal: journal.New(out, journal.Info, decisionLines), Metrics: m, MetricsPort: metricsPort,
 		Reload: func() (settings.Settings, error) { return platform.ReadSettings(path) },
 		Ready:  platform.Ready,
 	})
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -18,9 +18,11 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 )
 
@@ -61,6 +63,44 @@
 	return v
 }
 
+// Bounds of a histogram's values, and the digits that it keeps.
+const (
+	leastRecorded = time.Microsecond
+	mostRecorded  = time.Minute
+	digitsKept    = 2
+)
+
+// Histogram is a distribution of durations since the start of the process.
+type Histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+// Histogram adds a histogram to the set; it shows as counts and milliseconds.
+func (s *Set) Histogram(name string) *Histogram {
+	h := &Histogram{h: hdrhistogram.New(int64(leastRecorded), int64(mostRecorded), digitsKept)}
+	s.Func(name, h.summary)
+	return h
+}
+
+// Record adds a duration; what is out of bounds is cut to them.
+func (h *Histogram) Record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// Within the bounds this cannot fail.
+	_ = h.h.RecordValue(int64(min(max(d, leastRecorded), mostRecorded)))
+}
+
+func (h *Histogram) summary() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ms := func(ns int64) float64 { return float64(ns) / float64(time.Millisecond) }
+	return map[string]any{
+		"Count": h.h.TotalCount(), "P50Millis": ms(h.h.ValueAtQuantile(50)), "P90Millis": ms(h.h.ValueAtQuantile(90)),
+		"P99Millis": ms(h.h.ValueAtQuantile(99)), "MaxMillis": ms(h.h.Max()),
+	}
+}
+
 // CPU returns the processor time that the process has used.
 func CPU() time.Duration {
 	var u syscall.Rusage
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -86,6 +86,9 @@
 	go func() { a.readUpstream() }()
 	go func() { a.tick() }()
 	a.publishMetrics()
+	if err := p.ServeMetrics(); err != nil {
+		return nil, err
+	}
 	if err := p.Serve(s.Control, control(a.events())); err != nil {
 		return nil, err
 	}
@@ -184,6 +187,11 @@
 }
 
 func (a *Agent) publishMetrics() {
+	answers, waits := a.Metrics.Histogram("RequestTime"), a.Metrics.Histogram("WaitForUpstream")
+	a.with(func(c *serving.Core) {
+		c.OnAnswer(answers.Record)
+		c.OnWait = waits.Record
+	})
 	a.Metrics.Func("Serving", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -193,7 +201,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		flows, busy, owners, searches := a.core.Sizes()
-		return map[string]int{"Flows": flows, "Busy": busy, "Owners": owners, "Searches": searches}
+		return map[string]any{"State": a.core.State().String(), "Flows": flows, "Busy": busy, "Owners": owners, "Searches": searches}
 	})
 }
 
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -87,6 +87,9 @@
 	go func() { b.readCallers() }()
 	go func() { b.tick() }()
 	b.publishMetrics()
+	if err := p.ServeMetrics(); err != nil {
+		return nil, err
+	}
 	err = p.Serve(s.Ready, p.Ready(func() (bool, string) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/internal/relay/ownership/ownership.go
+++ b/internal/relay/ownership/ownership.go
@@ -80,6 +80,10 @@
 	DataCentre     string
 	// LastAck is the acknowledgement in the caller's last packet.
 	LastAck uint32
+	// Born is the start of the upstream that accepted the flow, 0 if unknown.
+	Born int64
+	// Last is the caller's last packet of the request in progress.
+	Last []byte
 	// Excluded lists the agents that did not take the new flow before.
 	Excluded []uint32
 	// Asker is the agent that wants to know whether the upstream holds the flow, 0 for none.
@@ -117,6 +121,9 @@
 
 // Table is the flows of one upstream.
 type Table struct {
+	// Answered is called with the time of each request that was answered.
+	Answered func(time.Duration)
+
 	flows map[flow.ID]*Flow
 	busy  int
 	open  int
@@ -129,7 +136,9 @@
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{flows: make(map[flow.ID]*Flow), slots: 1, work: usualWork} }
+func New() *Table {
+	return &Table{Answered: func(time.Duration) {}, flows: make(map[flow.ID]*Flow), slots: 1, work: usualWork}
+}
 
 // SetSlots says how many requests the upstream runs at a time.
 func (t *Table) SetSlots(n int) { t.slots = max(n, 1) }
@@ -229,9 +238,10 @@
 	f.busy = busy
 	if busy {
 		t.busy++
-	} else {
-		t.busy--
+		return
 	}
+	t.busy--
+	f.Last = nil
 }
 
 // Offer notes that the first packet of a flow is delivered.
@@ -283,6 +293,7 @@
 	}
 	f = t.get(now, p.Flow, Open)
 	if p.Len > 0 && f.busy {
+		t.Answered(now.Sub(f.asked))
 		if f.unqueued {
 			t.work += time.Duration(workShare * float64(now.Sub(f.asked)-t.work))
 		}
--- a/internal/relay/process/process.go
+++ b/internal/relay/process/process.go
@@ -47,6 +47,8 @@
 	Gateway store.Gateway
 	Journal *journal.Journal
 	Metrics *metrics.Set
+	// MetricsPort is where metrics are served, nowhere if 0.
+	MetricsPort uint16
 	// Reload reads the settings anew.
 	Reload func() (settings.Settings, error)
 	// Ready handles the question whether the process can route.
@@ -63,14 +65,22 @@
 	servers []*http.Server
 	callers *net.UDPConn
 	port    uint16
+
+	stopMetrics  func()
+	stop, hangUp chan os.Signal
 }
 
 // New returns a process without sockets.
 func New(cfg Config) *Process {
-	return &Process{
-		Config: cfg, Journal: cfg.Journal, start: time.Now(), port: cfg.Settings.Callers.Port(),
+	p := &Process{
+		stop: make(chan os.Signal, 1), hangUp: make(chan os.Signal, 1),
+		Config: cfg, Journal: cfg.Journal, start: time.Now(), stopMetrics: func() {}, port: cfg.Settings.Callers.Port(),
 		Store: store.NewWith(cfg.Gateway, []netip.AddrPort{cfg.Settings.Store}, StoreTimeout),
 	}
+	// Signals are taken from the start on: SIGHUP would end the process otherwise.
+	signal.Notify(p.stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(p.hangUp, syscall.SIGHUP)
+	return p
 }
 
 // Self returns the instance.
@@ -106,8 +116,29 @@
 	return nil
 }
 
+// ServeMetrics serves the metrics and notes what all processes count.
+func (p *Process) ServeMetrics() error {
+	p.Metrics.Func("Store", func() any {
+		c := &p.Store.Calls
+		return map[string]int64{
+			"Reads": c.Reads.Load(), "Writes": c.Writes.Load(), "Renewals": c.Renewals.Load(),
+			"Watches": c.Watches.Load(), "Failed": c.Failed.Load(),
+		}
+	})
+	if p.MetricsPort == 0 {
+		return nil
+	}
+	stop, err := metrics.Serve(netip.AddrPortFrom(p.Settings.Instance, p.MetricsPort), p.Metrics)
+	if err != nil {
+		return err
+	}
+	p.stopMetrics = stop
+	return nil
+}
+
 // Close ends the servers.
 func (p *Process) Close() {
+	p.stopMetrics()
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
@@ -117,18 +148,14 @@
 // Wait returns at SIGTERM or SIGINT. At SIGHUP it reads the settings anew; a
 // changed address takes effect with the next process.
 func (p *Process) Wait(ctx context.Context) {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-stop:
+		case s := <-p.stop:
 			p.Info("Stopping", "Signal", s)
 			return
-		case <-reload:
+		case <-p.hangUp:
 			p.reload()
 		}
 	}
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -229,6 +229,11 @@
 func (c *Core) FoundOwn(now instant.Instant, r *message.Record) {
 	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
 	c.Roster.FoundOwn(now)
+	if !c.up.known && r.State == message.State_StateDraining {
+		// The upstream said so to the earlier process; its next heartbeat decides.
+		c.up.Draining = true
+		c.announce(now)
+	}
 }
 
 // Stored takes in all entries of the store.
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -85,6 +85,7 @@
 		if !ok {
 			continue
 		}
+		c.OnWait(now.Sub(e.Came))
 		e.Carried.WaitedMillis += uint32(now.Sub(e.Came) / time.Millisecond)
 		if c.closedForNew() {
 			c.passOn(now, p, e.Carried)
@@ -152,6 +153,9 @@
 	if asker != 0 {
 		f.Asker = asker
 	}
+	if f.Busy() && p.Len > 0 {
+		f.Last = p.Bytes
+	}
 	if p.Len > 0 {
 		c.await(now, &c.up.dataSince, &c.up.owesData)
 	}
@@ -249,6 +253,9 @@
 	c.Counts.Replied++
 	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: p.Bytes})
 	if found {
+		if c.up.known {
+			f.Born = c.up.Born
+		}
 		c.opened(now, f, p)
 	}
 	c.letPass(now)
@@ -342,13 +349,24 @@
 	c.up.coldUntil = now.Add(h.ColdFor)
 	if replaced {
 		c.noteAlways("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Before", old.Upstream, "BornBefore", old.Born)
-		c.endFlows(now, "UpstreamReplaced")
+		c.verifyFlows(old.Born)
 	}
 	c.alive(now)
 	c.announce(now)
 	return true
 }
 
+// verifyFlows delivers the callers' last packets again where a request is in
+// progress that an earlier upstream accepted. What bounces is reset; a flow that the
+// upstream holds after all gets a copy that it knows.
+func (c *Core) verifyFlows(born int64) {
+	c.table.All(func(f *ownership.Flow) {
+		if f.Born == born && f.Last != nil {
+			c.do(Action{Kind: Deliver, Flow: f.ID, Bytes: f.Last})
+		}
+	})
+}
+
 // endFlows resets all flows of an upstream that is no more.
 func (c *Core) endFlows(now instant.Instant, reason string) {
 	c.table.All(func(f *ownership.Flow) {
@@ -362,7 +380,7 @@
 
 // Leave takes in that the upstream has left.
 func (c *Core) Leave(now instant.Instant, id string) {
-	if c.up.known && id != c.up.Upstream {
+	if !c.up.known || id != c.up.Upstream {
 		c.note("LeaveLate", "Upstream", id, "Known", c.up.Upstream)
 		return
 	}
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -166,6 +166,8 @@
 	Config
 	Roster *roster.Roster
 	Counts Counts
+	// OnWait is called with the time that a flow waited in front of the upstream.
+	OnWait func(time.Duration)
 
 	directory *directory.Directory
 	table     *ownership.Table
@@ -188,7 +190,7 @@
 // New returns the core of an agent that has heard of nobody.
 func New(cfg Config) *Core {
 	c := &Core{
-		Config: cfg, Roster: roster.New(cfg.Self, cfg.DataCentre),
+		Config: cfg, OnWait: func(time.Duration) {}, Roster: roster.New(cfg.Self, cfg.DataCentre),
 		directory: directory.New(), table: ownership.New(), board: load.New(), room: waiting.New(),
 	}
 	c.announce(0)
@@ -298,5 +300,8 @@
 	c.do(Action{Kind: Reply, Flow: id, Bytes: c.Codec.Reset(id, seq)})
 }
 
+// OnAnswer has f called with the time of each request that was answered.
+func (c *Core) OnAnswer(f func(time.Duration)) { c.table.Answered = f }
+
 // State returns what the agent announces about its upstream.
 func (c *Core) State() message.State { return c.state }
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -48,7 +48,9 @@
 	ResetsUnknown bool
 	// Ran counts requests that ran, Shed those that were turned away.
 	Ran, Shed int
-	ran       map[uint32]bool
+	// Offered counts first packets.
+	Offered int
+	ran     map[uint32]bool
 }
 
 func newUpstream(w *World, p *Process, s Service) *Upstream {
@@ -148,6 +150,7 @@
 	}
 	f := u.flows[id]
 	if h.Flags.Has(flow.Syn) {
+		u.Offered++
 		if f == nil {
 			f = &upstreamFlow{seq: u.w.Random.Uint32()}
 			u.flows[id] = f
--- a/internal/standin/storage/storage.go
+++ b/internal/standin/storage/storage.go
@@ -89,6 +89,16 @@
 	s.changed.Broadcast()
 }
 
+// LoseLeases ends all leases and removes their keys.
+func (s *Store) LoseLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+	s.changed.Broadcast()
+}
+
 // Calls returns the number of calls served so far.
 func (s *Store) Calls() Calls {
 	s.mu.Lock()
