Keep flows near while slots are free, and back off at the start

Change: the cost of requests in progress is quadratic below the slots and linear beyond; retries at the start double up to 120 ms.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -28,10 +28,12 @@
 	// turnEvery is how often a process looks whether it is to watch.
 	turnEvery = 200 * time.Millisecond
 	// retryFirst is the pause after a failed call while there is no configuration,
-	// retryAfter the one after the first failed call later; it doubles up to retryMost.
-	retryFirst = 30 * time.Millisecond
-	retryAfter = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	// retryAfter the one after the first failed call later; they double up to
+	// retryFirstMost and retryMost.
+	retryFirst     = 30 * time.Millisecond
+	retryFirstMost = 120 * time.Millisecond
+	retryAfter     = 100 * time.Millisecond
+	retryMost      = 800 * time.Millisecond
 )
 
 // Config is what a follower calls. All fields are set.
@@ -110,7 +112,9 @@
 // delay returns the pause before the next try.
 func (f *Follower) delay() time.Duration {
 	if f.seen == 0 {
-		return retryFirst
+		d := max(f.retry, retryFirst)
+		f.retry = min(2*d, retryFirstMost)
+		return d
 	}
 	d := f.retry
 	f.retry = min(2*f.retry, retryMost)
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -21,14 +21,14 @@
 	"github.com/jaytack/jaytack/internal/relay/flow"
 )
 
-// Costs of a candidate beside its requests in progress, in requests.
+// Costs of a candidate beside its requests in progress.
 const (
-	// idleCost is what an open flow without a request adds: the share of its time
-	// in which such a flow has a request in progress.
+	// idleCost is what an open flow without a request adds to those, in requests:
+	// the share of its time in which such a flow has a request in progress.
 	idleCost = 0.04
-	// farCost is what another data centre adds: two crossings of some milliseconds
-	// against a request of some tens.
-	farCost = 0.3
+	// farCost is what another data centre adds, in rounds of requests: two crossings
+	// of some milliseconds against a request of some tens.
+	farCost = 0.15
 	// ColdFactor is how much longer requests take at an upstream that has just started.
 	ColdFactor = 1.6
 	// doubtfulCost is what an upstream adds that may not be ready yet, in rounds of
@@ -105,11 +105,10 @@
 	if slots == 0 {
 		slots = usualSlots
 	}
-	n := float64(e.Busy+e.placed) + idleCost*float64(e.Idle)
+	cost := expectedWait((float64(e.Busy+e.placed) + idleCost*float64(e.Idle)) / float64(slots))
 	if c.Far {
-		n += farCost
+		cost += farCost
 	}
-	cost := n / float64(slots)
 	if c.Doubtful {
 		cost += doubtfulCost
 	}
@@ -122,6 +121,15 @@
 	return cost
 }
 
+// expectedWait grows slowly while slots are free, when a request waits only if
+// others come at once, and with the queue beyond.
+func expectedWait(rounds float64) float64 {
+	if rounds < 1 {
+		return rounds * rounds
+	}
+	return 2*rounds - 1
+}
+
 // Choose returns the candidate with the least cost, the first of equals; ok is
 // false where there is none.
 func (b *Board) Choose(candidates []Candidate) (a flow.IP, ok bool) {
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -44,10 +44,12 @@
 	earlyPollEvery = 250 * time.Millisecond
 	earlyFor       = 2 * time.Second
 	// retryFirst is the pause after a failed call while the process knows nobody,
-	// retryAfter the one after the first failed call later; it doubles up to retryMost.
-	retryFirst = 30 * time.Millisecond
-	retryAfter = 100 * time.Millisecond
-	retryMost  = time.Second
+	// retryAfter the one after the first failed call later; they double up to
+	// retryFirstMost and retryMost.
+	retryFirst     = 30 * time.Millisecond
+	retryFirstMost = 120 * time.Millisecond
+	retryAfter     = 100 * time.Millisecond
+	retryMost      = time.Second
 )
 
 // Config is what a registry calls. All fields are set.
@@ -169,7 +171,9 @@
 		r.retry = retryAfter
 		return due
 	case !r.loaded:
-		return retryFirst
+		d := max(r.retry, retryFirst)
+		r.retry = min(2*d, retryFirstMost)
+		return d
 	}
 	d := r.retry
 	r.retry = min(2*r.retry, retryMost)
