Hold what cores decide in one package, and log failures under their own limit

Cause: both cores had actions, decisions and the time that callers try of their own; a line for each placed flow could displace the line that explains a failure, since both counted against 100 lines a second.

Change: package verdict, embedded in both cores; decisions are routine, notable or lasting; notable ones have a limit of their own; flow.OpeningLeft once.

--- a/core_test.go
+++ b/core_test.go
@@ -19,7 +19,7 @@
 	"internal/clock/instant", "internal/request/admission", "internal/request/handover", "internal/request/ledger",
 	"internal/request/outcome",
 	"internal/relay/directory", "internal/relay/flow", "internal/relay/forwarding", "internal/relay/load",
-	"internal/relay/ownership", "internal/relay/roster", "internal/relay/routes", "internal/relay/serving", "internal/relay/waiting",
+	"internal/relay/ownership", "internal/relay/roster", "internal/relay/routes", "internal/relay/serving", "internal/relay/verdict", "internal/relay/waiting",
 }
 
 // forbidden lists imports that bring input, output or a clock.
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/jaytack/jaytack/internal/relay/process"
 	"github.com/jaytack/jaytack/internal/relay/registry"
 	"github.com/jaytack/jaytack/internal/relay/serving"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
 )
 
 const (
@@ -128,21 +129,15 @@
 	actions, decisions := a.core.Take()
 	for _, x := range actions {
 		switch x.Kind {
-		case serving.Send:
+		case verdict.Send:
 			a.enc.Send(a.Process, a.link, x.To, x.Message)
-		case serving.Deliver:
+		case verdict.Deliver:
 			a.deliver(x.Bytes)
-		case serving.Reply:
+		case verdict.Reply:
 			a.Reply(x.Flow, x.Bytes)
 		}
 	}
-	for _, d := range decisions {
-		if d.Important {
-			a.Info(d.Event, d.Pairs...)
-		} else {
-			a.Decision(d.Event, d.Pairs...)
-		}
-	}
+	a.Log(decisions)
 	if s := a.core.State(); s != a.state {
 		before := a.state
 		a.state = s
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -24,6 +24,7 @@
 	"github.com/jaytack/jaytack/internal/relay/process"
 	"github.com/jaytack/jaytack/internal/relay/registry"
 	"github.com/jaytack/jaytack/internal/relay/routes"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
 )
 
 const (
@@ -116,21 +117,15 @@
 	actions, decisions := b.core.Take()
 	for _, a := range actions {
 		switch a.Kind {
-		case forwarding.Send:
+		case verdict.Send:
 			b.enc.Send(b.Process, b.link, a.To, a.Message)
-		case forwarding.Reply:
+		case verdict.Reply:
 			b.Reply(a.Flow, a.Bytes)
-		case forwarding.Refresh:
+		case verdict.Refresh:
 			b.follower.Refresh()
 		}
 	}
-	for _, d := range decisions {
-		if d.Important {
-			b.Info(d.Event, d.Pairs...)
-		} else {
-			b.Decision(d.Event, d.Pairs...)
-		}
-	}
+	b.Log(decisions)
 }
 
 func (b *Balancer) readCallers() {
--- a/internal/relay/flow/flow.go
+++ b/internal/relay/flow/flow.go
@@ -16,6 +16,7 @@
 	"encoding/binary"
 	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -123,6 +124,16 @@
 // Opens reports whether the packet asks for a new flow.
 func (p Packet) Opens() bool { return p.Flags.Has(Syn) && !p.Flags.Has(Ack) }
 
+// OpensFor is how long callers try to open a flow.
+const OpensFor = 1400 * time.Millisecond
+
+// OpeningLeft returns for how much longer a caller tries to open a flow when it
+// sends a copy of the first packet; AckSeq of the copy counts them.
+func OpeningLeft(copies uint32) time.Duration {
+	sent := [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+	return OpensFor - sent[min(int(copies), len(sent)-1)]
+}
+
 // Codec reads and writes packets. All fields are set.
 type Codec struct {
 	// FromCaller decodes a packet that a caller wrote; ok is false where it is none.
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -28,6 +28,7 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/roster"
 	"github.com/jaytack/jaytack/internal/relay/routes"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
 )
 
 // Times and bounds.
@@ -40,9 +41,6 @@
 	keepHint = 30 * time.Second
 	// maxHints bounds the owners that are remembered.
 	maxHints = 1 << 18
-	// keepWaiting is how long packets wait for a configuration and for agents: the
-	// time for which callers try to open a flow.
-	keepWaiting = 1400 * time.Millisecond
 	// maxWaiting bounds the packets that wait.
 	maxWaiting = 1024
 	// watchers is how many balancers watch for new configurations, so that one hears
@@ -63,36 +61,6 @@
 	Codec       flow.Codec
 }
 
-// ActionKind says what is to be done.
-type ActionKind uint8
-
-// Actions.
-const (
-	// Send sends Message to the instance To.
-	Send ActionKind = iota + 1
-	// Reply sends Bytes to the caller of Flow.
-	Reply
-	// Refresh reads the configuration, since the balancer To has a newer version.
-	Refresh
-)
-
-// Action is something that the process has to do.
-type Action struct {
-	Kind    ActionKind
-	To      flow.IP
-	Message *message.Envelope
-	Bytes   []byte
-	Flow    flow.ID
-}
-
-// Decision is a line for the log.
-type Decision struct {
-	Event string
-	// Important is set for lines that are never left out.
-	Important bool
-	Pairs     []any
-}
-
 // Counts counts decisions since the start.
 type Counts struct {
 	Packets, ToOwner, ToHome, Resets, Dropped, Waited, Unreadable, Hints int64
@@ -116,6 +84,7 @@
 // Core is the decisions of one balancer.
 type Core struct {
 	Config
+	verdict.Verdict
 	Roster *roster.Roster
 	Routes routes.Book
 	Counts Counts
@@ -127,9 +96,6 @@
 	reportAt instant.Instant
 	expireAt instant.Instant
 	changes  uint64
-
-	actions   []Action
-	decisions []Decision
 }
 
 // New returns the core of a balancer that has heard of nobody.
@@ -137,26 +103,9 @@
 	return &Core{Config: cfg, Roster: roster.New(cfg.Self, cfg.DataCentre), hints: make(map[flow.ID]*hint)}
 }
 
-// Take returns what is to be done and logged since the last call.
-func (c *Core) Take() ([]Action, []Decision) {
-	a, d := c.actions, c.decisions
-	c.actions, c.decisions = nil, nil
-	return a, d
-}
-
 // Sizes returns the number of hints and of waiting packets.
 func (c *Core) Sizes() (hints, waits int) { return len(c.hints), len(c.waiting) }
 
-func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
-
-func (c *Core) note(event string, pairs ...any) {
-	c.decisions = append(c.decisions, Decision{Event: event, Pairs: pairs})
-}
-
-func (c *Core) noteAlways(event string, pairs ...any) {
-	c.decisions = append(c.decisions, Decision{Event: event, Important: true, Pairs: pairs})
-}
-
 // Ready reports whether the balancer can route, and why not.
 func (c *Core) Ready(now instant.Instant) (ok bool, reason string) {
 	switch {
@@ -213,8 +162,8 @@
 		return
 	}
 	c.Counts.Resets++
-	c.note("FlowReset", "Flow", p.Flow, "Reason", "NoRoute", "Version", c.Routes.Version())
-	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: c.Codec.Reset(p.Flow, 0)})
+	c.Explain("FlowReset", "Flow", p.Flow, "Reason", "NoRoute", "Version", c.Routes.Version())
+	c.Do(verdict.Action{Kind: verdict.Reply, Flow: p.Flow, Bytes: c.Codec.Reset(p.Flow, 0)})
 }
 
 // route sends a packet to the flow's owner or to its home.
@@ -242,7 +191,7 @@
 	}
 	m.Step = message.Step_StepHome
 	c.Counts.ToHome++
-	c.note("PacketToHome", "Flow", p.Flow, "Home", home, "Service", service, "Opens", p.Opens(), "Version", c.Routes.Version())
+	c.Note("PacketToHome", "Flow", p.Flow, "Home", home, "Service", service, "Opens", p.Opens(), "Version", c.Routes.Version())
 	c.send(home, m)
 }
 
@@ -253,20 +202,20 @@
 		return
 	}
 	c.Counts.Resets++
-	c.note("FlowReset", "Flow", p.Flow, "Reason", "NoAgent", "Service", service, "Version", c.Routes.Version())
-	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: c.Codec.Reset(p.Flow, 0)})
+	c.Explain("FlowReset", "Flow", p.Flow, "Reason", "NoAgent", "Service", service, "Version", c.Routes.Version())
+	c.Do(verdict.Action{Kind: verdict.Reply, Flow: p.Flow, Bytes: c.Codec.Reset(p.Flow, 0)})
 }
 
 func (c *Core) send(to flow.IP, m *message.Carried) {
-	c.do(Action{Kind: Send, To: to, Message: &message.Envelope{Body: &message.Envelope_Carried{Carried: m}}})
+	c.Do(verdict.Action{Kind: verdict.Send, To: to, Message: &message.Envelope{Body: &message.Envelope_Carried{Carried: m}}})
 }
 
 // wait keeps a packet until there is a configuration and an agent. Of the copies
 // of a first packet the last is kept.
 func (c *Core) wait(now instant.Instant, p flow.Packet) {
-	w := waiting{id: p.Flow, since: now, until: now.Add(keepWaiting), opens: p.Opens(), bytes: bytes.Clone(p.Bytes)}
+	w := waiting{id: p.Flow, since: now, until: now.Add(flow.OpensFor), opens: p.Opens(), bytes: bytes.Clone(p.Bytes)}
 	if w.opens {
-		w.until = now.Add(openingLeft(p.AckSeq))
+		w.until = now.Add(flow.OpeningLeft(p.AckSeq))
 		for i := range c.waiting {
 			if c.waiting[i].opens && c.waiting[i].id == p.Flow {
 				c.waiting[i] = w
@@ -282,13 +231,6 @@
 	c.waiting = append(c.waiting, w)
 }
 
-// openingLeft returns for how much longer a caller tries to open a flow when it
-// sends a copy of the first packet.
-func openingLeft(copies uint32) time.Duration {
-	sent := [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-	return keepWaiting - sent[min(int(copies), len(sent)-1)]
-}
-
 // retry forwards what waited, as far as it is not too old.
 func (c *Core) retry(now instant.Instant) {
 	if len(c.waiting) == 0 {
@@ -342,7 +284,7 @@
 		return
 	}
 	if r.Service == "" && routes.Version(r.Version) > c.Routes.Version() {
-		c.do(Action{Kind: Refresh, To: from})
+		c.Do(verdict.Action{Kind: verdict.Refresh, To: from})
 	}
 	c.rosterChanged(now)
 }
@@ -368,7 +310,7 @@
 	first := !c.Roster.Loaded()
 	c.Roster.Stored(now, recs)
 	if first {
-		c.noteAlways("MembersLoaded", "Members", c.Roster.Size())
+		c.Believe("MembersLoaded", "Members", c.Roster.Size())
 		c.changes--
 	}
 	c.rosterChanged(now)
@@ -379,11 +321,11 @@
 	before := c.Routes.Version()
 	if !c.Routes.Apply(cfg) {
 		if cfg.Version < before {
-			c.note("ConfigurationOutdated", "Version", cfg.Version, "InForce", before, "Source", source)
+			c.Explain("ConfigurationOutdated", "Version", cfg.Version, "InForce", before, "Source", source)
 		}
 		return
 	}
-	c.noteAlways("ConfigurationApplied", "Version", cfg.Version, "Before", before, "Routes", len(cfg.Routes), "Source", source)
+	c.Believe("ConfigurationApplied", "Version", cfg.Version, "Before", before, "Routes", len(cfg.Routes), "Source", source)
 	c.reportAt = min(c.reportAt, now)
 	c.retry(now)
 }
@@ -433,7 +375,7 @@
 	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record()}}}
 	c.Roster.All(func(m *roster.Member) {
 		if m.ID() != c.Self {
-			c.do(Action{Kind: Send, To: m.ID(), Message: e})
+			c.Do(verdict.Action{Kind: verdict.Send, To: m.ID(), Message: e})
 		}
 	})
 }
@@ -445,7 +387,7 @@
 		}
 	}
 	for _, m := range c.Roster.Expire(now) {
-		c.noteAlways("MemberForgotten", "Member", m.ID(), "Service", m.Service)
+		c.Believe("MemberForgotten", "Member", m.ID(), "Service", m.Service)
 	}
 	c.rosterChanged(now)
 }
--- a/internal/relay/process/process.go
+++ b/internal/relay/process/process.go
@@ -27,6 +27,7 @@
 	"github.com/jaytack/jaytack/internal/relay/link"
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/settings"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
 )
 
 // StoreTimeout bounds a call of the store, which answers in milliseconds; a call
@@ -61,6 +62,7 @@
 	*journal.Journal
 	Store *store.Client
 
+	notable *journal.Journal
 	start   time.Time
 	servers []*http.Server
 	callers *net.UDPConn
@@ -74,7 +76,7 @@
 func New(cfg Config) *Process {
 	p := &Process{
 		stop: make(chan os.Signal, 1), hangUp: make(chan os.Signal, 1),
-		Config: cfg, Journal: cfg.Journal, start: time.Now(), stopMetrics: func() {}, port: cfg.Settings.Callers.Port(),
+		Config: cfg, Journal: cfg.Journal, notable: cfg.Journal.With(), start: time.Now(), stopMetrics: func() {}, port: cfg.Settings.Callers.Port(),
 		Store: store.NewWith(cfg.Gateway, []netip.AddrPort{cfg.Settings.Store}, StoreTimeout),
 	}
 	// Signals are taken from the start on: SIGHUP would end the process otherwise.
@@ -170,6 +172,21 @@
 	p.Info("SettingsReloaded", "Changed", s != p.Settings)
 }
 
+// Log writes what a core decided. Notable decisions have a limit of their own, so
+// that routine ones cannot displace them.
+func (p *Process) Log(decisions []verdict.Decision) {
+	for _, d := range decisions {
+		switch d.Weight {
+		case verdict.Lasting:
+			p.Info(d.Event, d.Pairs...)
+		case verdict.Notable:
+			p.notable.Decision(d.Event, d.Pairs...)
+		default:
+			p.Decision(d.Event, d.Pairs...)
+		}
+	}
+}
+
 // Encoder encodes messages once for several receivers.
 type Encoder struct {
 	last  *message.Envelope
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -71,7 +71,7 @@
 	c.Counts.Placed++
 	c.board.Place(to)
 	c.directory.Own(now, p.Flow, to)
-	c.note("FlowPlaced", "Flow", p.Flow, "Agent", to, "Among", len(candidates),
+	c.Note("FlowPlaced", "Flow", p.Flow, "Agent", to, "Among", len(candidates),
 		"Cost", c.board.Cost(load.Candidate{Agent: to}), "Excluded", len(m.Excluded), "Copy", p.AckSeq)
 	c.carry(now, to, m, message.Step_StepPlace)
 }
@@ -134,7 +134,7 @@
 	}
 	if s.Asked == 0 {
 		c.Counts.Searches++
-		c.note("OwnerSearched", "Flow", p.Flow, "Members", len(c.Roster.Group(c.Service)), "Settled", c.Roster.Settled(now))
+		c.Explain("OwnerSearched", "Flow", p.Flow, "Members", len(c.Roster.Group(c.Service)), "Settled", c.Roster.Settled(now))
 	}
 	s.Asked = now
 	c.ask(now, s, m)
@@ -160,7 +160,7 @@
 	if s == nil {
 		return
 	}
-	c.note("OwnerFound", "Flow", id, "Agent", from, "Took", now.Sub(s.Started), "Denials", s.Denials())
+	c.Explain("OwnerFound", "Flow", id, "Agent", from, "Took", now.Sub(s.Started), "Denials", s.Denials())
 	for _, m := range s.Take() {
 		c.carry(now, from, m, message.Step_StepOwner)
 	}
@@ -294,7 +294,7 @@
 func (c *Core) claim(f *ownership.Flow, home flow.IP) {
 	f.Home = home
 	if home != c.Self {
-		c.send(home, &message.Envelope{Body: &message.Envelope_Claim{Claim: &message.Claim{Flow: message.FlowOf(f.ID)}}})
+		c.Send(home, &message.Envelope{Body: &message.Envelope_Claim{Claim: &message.Claim{Flow: message.FlowOf(f.ID)}}})
 	}
 }
 
@@ -302,10 +302,10 @@
 func (c *Core) expire(now instant.Instant) {
 	c.table.Expire(now)
 	for _, id := range c.directory.Expire(now) {
-		c.note("OwnerNotFound", "Flow", id, "Members", len(c.Roster.Group(c.Service)))
+		c.Explain("OwnerNotFound", "Flow", id, "Members", len(c.Roster.Group(c.Service)))
 	}
 	for _, r := range c.Roster.Expire(now) {
-		c.noteAlways("MemberForgotten", "Agent", r.ID(), "Service", r.Service, "Heard", sinceHeard(now, r))
+		c.Believe("MemberForgotten", "Agent", r.ID(), "Service", r.Service, "Heard", sinceHeard(now, r))
 		c.board.Forget(r.ID())
 	}
 	c.rosterChanged(now)
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -10,6 +10,7 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/ownership"
 	"github.com/jaytack/jaytack/internal/relay/roster"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
 	"github.com/jaytack/jaytack/internal/relay/waiting"
 )
 
@@ -27,13 +28,13 @@
 		c.offerNow(now, p, m)
 		return
 	}
-	left := openingLeft(p.AckSeq) - time.Duration(m.WaitedMillis)*time.Millisecond
+	left := flow.OpeningLeft(p.AckSeq) - time.Duration(m.WaitedMillis)*time.Millisecond
 	if left < 0 {
-		c.note("FlowGivenUp", "Flow", p.Flow, "Copy", p.AckSeq, "Waited", m.WaitedMillis)
+		c.Explain("FlowGivenUp", "Flow", p.Flow, "Copy", p.AckSeq, "Waited", m.WaitedMillis)
 		return
 	}
 	e := &waiting.Entry{
-		Flow: p.Flow, Carried: m, Asked: now.Add(left - opensFor), Until: now.Add(left), Came: now,
+		Flow: p.Flow, Carried: m, Asked: now.Add(left - flow.OpensFor), Until: now.Add(left), Came: now,
 		Aim: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
 	}
 	s := c.fullness(now)
@@ -42,7 +43,7 @@
 		c.offerNow(now, p, m)
 	case c.room.Add(now, e, s):
 		c.Counts.Waited++
-		c.note("FlowWaits", "Flow", p.Flow, "InSystem", s.InSystem, "Work", s.Work, "Waiting", c.room.Len(), "Copy", p.AckSeq)
+		c.Explain("FlowWaits", "Flow", p.Flow, "InSystem", s.InSystem, "Work", s.Work, "Waiting", c.room.Len(), "Copy", p.AckSeq)
 		c.letPass(now)
 	case len(m.Excluded) < maxPlacements && len(c.Roster.Group(c.Service)) > 1:
 		c.passOn(now, p, m)
@@ -51,13 +52,6 @@
 	}
 }
 
-// openingLeft returns for how much longer a caller tries to open a flow when it
-// sends a copy of the first packet.
-func openingLeft(copies uint32) time.Duration {
-	sent := [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-	return opensFor - sent[min(int(copies), len(sent)-1)]
-}
-
 // fullness returns how full the upstream is.
 func (c *Core) fullness(now instant.Instant) waiting.State {
 	work := c.table.Work()
@@ -173,7 +167,7 @@
 // be listening yet.
 func (c *Core) deliver(now instant.Instant, m *message.Carried, p flow.Packet) {
 	c.Counts.Delivered++
-	c.do(Action{Kind: Deliver, Flow: p.Flow, Bytes: m.Packet})
+	c.Do(verdict.Action{Kind: verdict.Deliver, Flow: p.Flow, Bytes: m.Packet})
 	if c.state != message.State_StateUnknown && c.state != message.State_StateSilent {
 		return
 	}
@@ -220,7 +214,7 @@
 			d.Members = append(d.Members, r.Instance)
 		}
 	}
-	c.send(asker, &message.Envelope{Body: &message.Envelope_Denial{Denial: d}})
+	c.Send(asker, &message.Envelope{Body: &message.Envelope_Denial{Denial: d}})
 }
 
 // giveBack returns a packet to the flow's home: the upstream does not hold the flow.
@@ -251,7 +245,7 @@
 	}
 	f, found := c.table.FromUpstream(now, p)
 	c.Counts.Replied++
-	c.do(Action{Kind: Reply, Flow: p.Flow, Bytes: p.Bytes})
+	c.Do(verdict.Action{Kind: verdict.Reply, Flow: p.Flow, Bytes: p.Bytes})
 	if found {
 		if c.up.known {
 			f.Born = c.up.Born
@@ -264,7 +258,7 @@
 // disowned handles a reset of a flow that the upstream has not shown to hold: it
 // may be open elsewhere, so the caller must not get it.
 func (c *Core) disowned(now instant.Instant, p flow.Packet, f *ownership.Flow) {
-	c.note("UpstreamDisownsFlow", "Flow", p.Flow, "Asked", f != nil && f.Asker != 0)
+	c.Explain("UpstreamDisownsFlow", "Flow", p.Flow, "Asked", f != nil && f.Asker != 0)
 	if f == nil {
 		return
 	}
@@ -309,7 +303,7 @@
 		if f != nil {
 			c.table.Drop(f)
 		}
-		c.note("FirstPacketBounced", "Flow", p.Flow, "Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
+		c.Explain("FirstPacketBounced", "Flow", p.Flow, "Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
 		c.up.refuses = now.Sub(c.up.heard) > bouncesAfter
 		c.announce(now)
 		c.passOn(now, p, m)
@@ -333,12 +327,12 @@
 // was news.
 func (c *Core) Heartbeat(now instant.Instant, h Heartbeat) bool {
 	if h.Service != c.Service {
-		c.noteAlways("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service)
+		c.Believe("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service)
 		return false
 	}
 	old := c.up.Heartbeat
 	if c.up.known && (h.Born < old.Born || h.Born == old.Born && h.Sequence <= old.Sequence) {
-		c.note("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "KnownBorn", old.Born, "KnownSequence", old.Sequence)
+		c.Explain("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "KnownBorn", old.Born, "KnownSequence", old.Sequence)
 		return false
 	}
 	replaced := c.up.known && h.Born > old.Born
@@ -348,7 +342,7 @@
 	c.up.gone, c.up.endAt = false, 0
 	c.up.coldUntil = now.Add(h.ColdFor)
 	if replaced {
-		c.noteAlways("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Before", old.Upstream, "BornBefore", old.Born)
+		c.Believe("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Before", old.Upstream, "BornBefore", old.Born)
 		c.verifyFlows(old.Born)
 	}
 	c.alive(now)
@@ -362,7 +356,7 @@
 func (c *Core) verifyFlows(born int64) {
 	c.table.All(func(f *ownership.Flow) {
 		if f.Born == born && f.Last != nil {
-			c.do(Action{Kind: Deliver, Flow: f.ID, Bytes: f.Last})
+			c.Do(verdict.Action{Kind: verdict.Deliver, Flow: f.ID, Bytes: f.Last})
 		}
 	})
 }
@@ -381,7 +375,7 @@
 // Leave takes in that the upstream has left.
 func (c *Core) Leave(now instant.Instant, id string) {
 	if !c.up.known || id != c.up.Upstream {
-		c.note("LeaveLate", "Upstream", id, "Known", c.up.Upstream)
+		c.Explain("LeaveLate", "Upstream", id, "Known", c.up.Upstream)
 		return
 	}
 	c.up.gone, c.up.endAt = true, now.Add(endAfterLeave)
@@ -405,8 +399,8 @@
 	queue := c.missed
 	c.missed = nil
 	for _, m := range queue {
-		if now.Sub(m.at) < keepMissed {
-			c.do(Action{Kind: Deliver, Bytes: m.packet})
+		if now.Sub(m.at) < flow.OpensFor {
+			c.Do(verdict.Action{Kind: verdict.Deliver, Bytes: m.packet})
 		}
 	}
 }
@@ -440,7 +434,7 @@
 	if s == c.state {
 		return
 	}
-	c.noteAlways("UpstreamStateChanged", "State", s, "Before", c.state, "Upstream", c.up.Upstream, "Born", c.up.Born,
+	c.Believe("UpstreamStateChanged", "State", s, "Before", c.state, "Upstream", c.up.Upstream, "Born", c.up.Born,
 		"Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
 	c.state = s
 	c.groupAt, c.balancersAt = now, now
@@ -496,7 +490,7 @@
 func (c *Core) reportTo(e *message.Envelope, members []*roster.Member) {
 	for _, m := range members {
 		if m.ID() != c.Self {
-			c.send(m.ID(), e)
+			c.Send(m.ID(), e)
 		}
 	}
 }
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -34,6 +34,7 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/ownership"
 	"github.com/jaytack/jaytack/internal/relay/roster"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
 	"github.com/jaytack/jaytack/internal/relay/waiting"
 )
 
@@ -56,14 +57,9 @@
 	// askAgainAfter is how long a search waits before agents are asked again that
 	// have not answered: longer than the way there and back between data centres.
 	askAgainAfter = 100 * time.Millisecond
-	// keepMissed is how long packets are kept for an upstream that may not listen
-	// yet: the time for which callers try to open a flow.
-	keepMissed = 1400 * time.Millisecond
 	// bouncesAfter is the silence after which a bounced first packet means that the
 	// upstream is down; one that answers is full for a moment.
 	bouncesAfter = 50 * time.Millisecond
-	// opensFor is how long callers try to open a flow.
-	opensFor = 1400 * time.Millisecond
 	// usualSlots is taken for the slots of an upstream that has not said how many.
 	usualSlots = 4
 	// endAfterLeave is the time between an upstream's leave and its end.
@@ -103,36 +99,6 @@
 	ColdFor time.Duration
 }
 
-// ActionKind says what is to be done.
-type ActionKind uint8
-
-// Actions.
-const (
-	// Send sends Message to the instance To.
-	Send ActionKind = iota + 1
-	// Deliver sends Bytes to the upstream.
-	Deliver
-	// Reply sends Bytes to the caller of Flow.
-	Reply
-)
-
-// Action is something that the process has to do.
-type Action struct {
-	Kind    ActionKind
-	To      flow.IP
-	Message *message.Envelope
-	Bytes   []byte
-	Flow    flow.ID
-}
-
-// Decision is a line for the log.
-type Decision struct {
-	Event string
-	// Important is set for lines that are never left out.
-	Important bool
-	Pairs     []any
-}
-
 // Counts counts decisions since the start.
 type Counts struct {
 	Delivered, Replied, Bounced, Placed, Redirected, Waited, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
@@ -164,6 +130,7 @@
 // Core is the decisions of one agent.
 type Core struct {
 	Config
+	verdict.Verdict
 	Roster *roster.Roster
 	Counts Counts
 	// OnWait is called with the time that a flow waited in front of the upstream.
@@ -182,9 +149,6 @@
 	groupAt, balancersAt, expireAt instant.Instant
 	changes                        uint64
 	rehoming                       bool
-
-	actions   []Action
-	decisions []Decision
 }
 
 // New returns the core of an agent that has heard of nobody.
@@ -197,13 +161,6 @@
 	return c
 }
 
-// Take returns what is to be done and logged since the last call.
-func (c *Core) Take() ([]Action, []Decision) {
-	a, d := c.actions, c.decisions
-	c.actions, c.decisions = nil, nil
-	return a, d
-}
-
 // Sizes returns the number of flows, of requests in progress, of known owners and
 // of searches.
 func (c *Core) Sizes() (flows, busy, owners, searches int) {
@@ -212,20 +169,6 @@
 	return c.table.Len(), busy, owners, searches
 }
 
-func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
-
-func (c *Core) note(event string, pairs ...any) {
-	c.decisions = append(c.decisions, Decision{Event: event, Pairs: pairs})
-}
-
-func (c *Core) noteAlways(event string, pairs ...any) {
-	c.decisions = append(c.decisions, Decision{Event: event, Important: true, Pairs: pairs})
-}
-
-func (c *Core) send(to flow.IP, e *message.Envelope) {
-	c.do(Action{Kind: Send, To: to, Message: e})
-}
-
 // carry sends a packet to an agent, which may be this one.
 func (c *Core) carry(now instant.Instant, to flow.IP, m *message.Carried, step message.Step) {
 	m.Step = step
@@ -233,7 +176,7 @@
 		c.take(now, c.Self, m)
 		return
 	}
-	c.send(to, &message.Envelope{Body: &message.Envelope_Carried{Carried: m}})
+	c.Send(to, &message.Envelope{Body: &message.Envelope_Carried{Carried: m}})
 }
 
 // Message handles a message of another process.
@@ -266,7 +209,7 @@
 	if m.Service != c.Service {
 		// The instance's address belonged to an agent of another service before.
 		c.Counts.Misdirected++
-		c.note("PacketMisdirected", "Flow", p.Flow, "From", from, "Service", m.Service)
+		c.Explain("PacketMisdirected", "Flow", p.Flow, "From", from, "Service", m.Service)
 		c.hint(p.Flow, flow.IP(m.Balancer), 0)
 		return
 	}
@@ -288,7 +231,7 @@
 	if balancer == 0 {
 		return
 	}
-	c.send(balancer, &message.Envelope{Body: &message.Envelope_Hint{Hint: &message.Hint{
+	c.Send(balancer, &message.Envelope{Body: &message.Envelope_Hint{Hint: &message.Hint{
 		Flow: message.FlowOf(id), Owner: uint32(owner),
 	}}})
 }
@@ -296,8 +239,8 @@
 // reset tells a caller that a flow has ended.
 func (c *Core) reset(id flow.ID, seq uint32, reason string, pairs ...any) {
 	c.Counts.Resets++
-	c.note("FlowReset", append([]any{"Flow", id, "Reason", reason}, pairs...)...)
-	c.do(Action{Kind: Reply, Flow: id, Bytes: c.Codec.Reset(id, seq)})
+	c.Explain("FlowReset", append([]any{"Flow", id, "Reason", reason}, pairs...)...)
+	c.Do(verdict.Action{Kind: verdict.Reply, Flow: id, Bytes: c.Codec.Reset(id, seq)})
 }
 
 // OnAnswer has f called with the time of each request that was answered.
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -9,6 +9,7 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/routes"
 	"github.com/jaytack/jaytack/internal/relay/serving"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
 )
 
 // Start starts a process that does not run. It knows nothing of before.
@@ -129,32 +130,23 @@
 
 // act does what a core has decided.
 func (w *World) act(p *Process) {
+	var v *verdict.Verdict
 	if p.Balancer != nil {
-		actions, decisions := p.Balancer.Take()
-		for _, d := range decisions {
-			w.trace(p, d.Event, d.Pairs)
-		}
-		for _, a := range actions {
-			switch a.Kind {
-			case forwarding.Send:
-				w.message(p.IP, a.To, a.Message)
-			case forwarding.Reply:
-				w.reply(p.IP, a.Flow, a.Bytes, true)
-			}
-		}
-		return
+		v = &p.Balancer.Verdict
+	} else {
+		v = &p.Agent.Verdict
 	}
-	actions, decisions := p.Agent.Take()
+	actions, decisions := v.Take()
 	for _, d := range decisions {
 		w.trace(p, d.Event, d.Pairs)
 	}
 	for _, a := range actions {
 		switch a.Kind {
-		case serving.Send:
+		case verdict.Send:
 			w.message(p.IP, a.To, a.Message)
-		case serving.Deliver:
+		case verdict.Deliver:
 			p.Upstream.receive(slices.Clone(a.Bytes))
-		case serving.Reply:
+		case verdict.Reply:
 			h, _ := readHead(a.Bytes)
 			w.reply(p.IP, a.Flow, a.Bytes, h.Flags == flow.Rst)
 		}
