Poll less, and report less to other data centres

Change: leases of 9 s, entries read every 1.8 s, the configuration's key every 15 s beside the watches; loads go to other data centres with every third report, changes of state at once.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -24,7 +24,7 @@
 
 const (
 	// checkEvery is how often the key is read although nothing says that it is new.
-	checkEvery = 6 * time.Second
+	checkEvery = 15 * time.Second
 	// turnEvery is how often a process looks whether it is to watch.
 	turnEvery = 200 * time.Millisecond
 	// retryFirst is the pause after a failed call while there is no configuration,
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -33,12 +33,12 @@
 const (
 	// leaseTTL is how long an entry outlives its process: longer than all processes
 	// need to start again after a loss of power.
-	leaseTTL = 6 * time.Second
+	leaseTTL = 9 * time.Second
 	// renewEvery is how often the lease is renewed, three times within its time.
 	renewEvery = leaseTTL / 3
 	// pollEvery is how often entries are read: a vanished entry is to be back
 	// within 2 s.
-	pollEvery = 1500 * time.Millisecond
+	pollEvery = 1800 * time.Millisecond
 	// earlyPollEvery is how often entries are read for earlyFor after the start and
 	// after each write of the own entry, when others write theirs.
 	earlyPollEvery = 250 * time.Millisecond
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -267,7 +267,7 @@
 
 // tellNewMembers reports at once, so that new members need not wait.
 func (c *Core) tellNewMembers(now instant.Instant) {
-	c.groupAt, c.balancersAt = min(c.groupAt, now), min(c.balancersAt, now)
+	c.groupAt, c.balancersAt, c.urgent = min(c.groupAt, now), min(c.balancersAt, now), true
 }
 
 // rehome claims flows at their homes where these have changed.
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -437,7 +437,7 @@
 	c.Believe("UpstreamStateChanged", "State", s, "Before", c.state, "Upstream", c.up.Upstream, "Born", c.up.Born,
 		"Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
 	c.state = s
-	c.groupAt, c.balancersAt = now, now
+	c.groupAt, c.balancersAt, c.urgent = now, now, true
 	c.rehoming = true
 }
 
@@ -475,21 +475,25 @@
 	if !group && !balancers {
 		return
 	}
+	urgent := c.urgent
+	c.urgent = false
 	c.sequence++
 	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record(now)}}}
 	if group {
 		c.groupAt = now.Add(reportGroupEvery)
-		c.reportTo(e, c.Roster.Group(c.Service))
+		c.reports++
+		all := urgent || c.reports%farReports == 0
+		c.reportTo(e, c.Roster.Group(c.Service), func(m *roster.Member) bool { return all || m.DataCentre == c.DataCentre })
 	}
 	if balancers {
 		c.balancersAt = now.Add(reportBalancersEvery)
-		c.reportTo(e, c.Roster.Balancers())
+		c.reportTo(e, c.Roster.Balancers(), func(*roster.Member) bool { return true })
 	}
 }
 
-func (c *Core) reportTo(e *message.Envelope, members []*roster.Member) {
+func (c *Core) reportTo(e *message.Envelope, members []*roster.Member, to func(*roster.Member) bool) {
 	for _, m := range members {
-		if m.ID() != c.Self {
+		if m.ID() != c.Self && to(m) {
 			c.Send(m.ID(), e)
 		}
 	}
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -42,8 +42,11 @@
 const (
 	// TickEvery is how often Tick is called.
 	TickEvery = 50 * time.Millisecond
-	// reportGroupEvery is how often peers hear about load: a few requests' time.
+	// reportGroupEvery is how often peers hear about load: a few requests' time. Those
+	// in other data centres, where bytes cost more and flows go only when near
+	// upstreams are full, hear every farReports-th report.
 	reportGroupEvery = 50 * time.Millisecond
+	farReports       = 3
 	// reportBalancersEvery is how often balancers hear that the agent lives, twice
 	// within the silence after which they suspect it.
 	reportBalancersEvery = 200 * time.Millisecond
@@ -147,8 +150,11 @@
 	missed    []missed
 
 	groupAt, balancersAt, expireAt instant.Instant
-	changes                        uint64
-	rehoming                       bool
+	// reports counts those to the group; an urgent one goes to all.
+	reports  int
+	urgent   bool
+	changes  uint64
+	rehoming bool
 }
 
 // New returns the core of an agent that has heard of nobody.
