Take the latest first among late flows, and learn the way to callers

Cause: the first request of a new flow was awaited for 150 ms, which held places for callers that had given up; late flows went by the time they had left, the oldest first, whose callers are the likeliest to be gone.

Change: awaited for three times the usual way to the caller and back, learnt; latest first throughout.

--- a/internal/relay/ownership/ownership.go
+++ b/internal/relay/ownership/ownership.go
@@ -54,9 +54,14 @@
 	keepEnded = time.Second
 	// MaxFlows bounds the table.
 	MaxFlows = 1 << 16
-	// openingFor is how long the first request of a new flow is awaited: some times
-	// the way to the caller and back.
-	openingFor = 150 * time.Millisecond
+	// openingTimes is for how many times the usual way to the caller and back the
+	// first request of a new flow is awaited; a caller that has given up sends none.
+	// Between openingLeast and openingMost.
+	openingTimes = 3
+	openingLeast = 15 * time.Millisecond
+	openingMost  = 150 * time.Millisecond
+	// usualOpening is taken for that way until some were seen.
+	usualOpening = 20 * time.Millisecond
 	// usualWork is taken for the time of a request until some were seen.
 	usualWork = 30 * time.Millisecond
 	// usualTimeout stands in for the deadline of a route that gives none.
@@ -133,11 +138,13 @@
 	order   []*Flow
 	slots   int
 	work    time.Duration
+	// way is the usual time from a first packet to the first request.
+	way time.Duration
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{Answered: func(time.Duration) {}, flows: make(map[flow.ID]*Flow), slots: 1, work: usualWork}
+	return &Table{Answered: func(time.Duration) {}, flows: make(map[flow.ID]*Flow), slots: 1, work: usualWork, way: usualOpening}
 }
 
 // SetSlots says how many requests the upstream runs at a time.
@@ -148,7 +155,8 @@
 
 // InSystem returns the number of requests that run, queue or are about to come.
 func (t *Table) InSystem(now instant.Instant) int {
-	for len(t.order) > 0 && (!t.order[0].opening || now.Sub(t.order[0].Began) > openingFor) {
+	limit := min(max(openingTimes*t.way, openingLeast), openingMost)
+	for len(t.order) > 0 && (!t.order[0].opening || now.Sub(t.order[0].Began) > limit) {
 		t.setOpening(t.order[0], false)
 		t.order = t.order[1:]
 	}
@@ -269,6 +277,9 @@
 	if f.isNew(p) && !f.busy && t.flows[f.ID] == f && f.Phase == Open {
 		f.Requests++
 		f.asked, f.unqueued = now, t.busy < t.slots
+		if f.opening {
+			t.way += time.Duration(workShare * float64(now.Sub(f.Began)-t.way))
+		}
 		t.setOpening(f, false)
 		t.setBusy(f, true)
 	}
--- a/internal/relay/waiting/waiting.go
+++ b/internal/relay/waiting/waiting.go
@@ -7,7 +7,8 @@
 // therefore passes only while its request can still be answered within its aim.
 // Of those that wait, the ones that can be in time go first, the most urgent route
 // before others and the latest comer before earlier ones; those that are late
-// anyway fill slots that would stay empty. A flow that cannot have its turn before
+// anyway fill slots that would stay empty, the latest first too, since the callers
+// of older ones may have given up. A flow that cannot have its turn before
 // its caller gives up is refused at once.
 //
 // # Usage
@@ -152,8 +153,6 @@
 		return x
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
-	case x:
-		return a.Asked > b.Asked
 	}
-	return a.Until < b.Until
+	return a.Asked > b.Asked
 }
