Never refuse a flow whose earlier copy may have been accepted

Ruled out: a search (its resets need the denial of all agents), a left upstream.

Change: copies and first packets that have waited for half the time to the first copy are dropped without a reset; the balancer keeps them waiting.

Figures: TestRefusalNeverCutsAnOpenFlow fails in three of four cases before and passes after.

--- a/internal/relay/flow/flow.go
+++ b/internal/relay/flow/flow.go
@@ -124,16 +124,26 @@
 // Opens reports whether the packet asks for a new flow.
 func (p Packet) Opens() bool { return p.Flags.Has(Syn) && !p.Flags.Has(Ack) }
 
+// firstCopyAfter is when callers send the first copy of a first packet.
+const firstCopyAfter = 200 * time.Millisecond
+
 // OpensFor is how long callers try to open a flow.
 const OpensFor = 1400 * time.Millisecond
 
 // OpeningLeft returns for how much longer a caller tries to open a flow when it
 // sends a copy of the first packet; AckSeq of the copy counts them.
 func OpeningLeft(copies uint32) time.Duration {
-	sent := [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+	sent := [...]time.Duration{0, firstCopyAfter, 600 * time.Millisecond}
 	return OpensFor - sent[min(int(copies), len(sent)-1)]
 }
 
+// MayBeOpen reports whether a flow may have opened elsewhere by the time when a copy
+// of its first packet is handled, which has waited in the fleet for a time: any
+// later copy may come after an earlier one was accepted.
+func MayBeOpen(copies uint32, waited time.Duration) bool {
+	return copies > 0 || waited >= firstCopyAfter/2
+}
+
 // Codec reads and writes packets. All fields are set.
 type Codec struct {
 	// FromCaller decodes a packet that a caller wrote; ok is false where it is none.
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -197,7 +197,7 @@
 
 // noAgent handles a packet to a service without agents.
 func (c *Core) noAgent(now instant.Instant, p flow.Packet, service string) {
-	if !c.Roster.Settled(now) || !p.Opens() {
+	if !c.Roster.Settled(now) || !p.Opens() || flow.MayBeOpen(p.AckSeq, 0) {
 		c.wait(now, p)
 		return
 	}
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/directory"
@@ -112,8 +113,13 @@
 // reported yet.
 func (c *Core) young(now instant.Instant) bool { return now.Sub(c.Started) < roster.SettleAfter }
 
-// refuse turns a new flow away that no upstream can take; it has not run.
+// refuse turns a new flow away that no upstream can take; it has not run. Where an
+// earlier copy may have been accepted elsewhere the caller hears nothing.
 func (c *Core) refuse(now instant.Instant, p flow.Packet, m *message.Carried, reason string) {
+	if waited := time.Duration(m.WaitedMillis) * time.Millisecond; flow.MayBeOpen(p.AckSeq, waited) {
+		c.Explain("CopyDropped", "Flow", p.Flow, "Reason", reason, "Copy", p.AckSeq, "Waited", waited)
+		return
+	}
 	c.Counts.Refused++
 	c.reset(p.Flow, 0, reason, "InSystem", c.table.InSystem(now), "Waiting", c.room.Len(), "Members", len(c.Roster.Group(c.Service)), "Excluded", len(m.Excluded))
 	c.directory.Disown(p.Flow)
--- /dev/null
+++ b/internal/relay/serving/serving_test.go
@@ -0,0 +1,66 @@
+package serving_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/serving"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
+)
+
+var id = flow.ID{Caller: flow.Endpoint{IP: 1, Port: 1025}, Address: flow.Endpoint{IP: 9, Port: 443}}
+
+// first returns the codec of a single packet: a copy of a flow's first packet.
+func first(copies uint32) flow.Codec {
+	p := flow.Packet{Flow: id, Flags: flow.Syn, AckSeq: copies}
+	return flow.Codec{
+		FromCaller:   func([]byte) (flow.Packet, bool) { return p, true },
+		FromUpstream: func([]byte) (flow.Packet, bool) { return p, true },
+		Unbounce:     func([]byte) {},
+		Reset:        func(flow.ID, uint32) []byte { return []byte("reset") },
+	}
+}
+
+// resets returns how many resets a core has decided.
+func resets(c *serving.Core) int {
+	n := 0
+	actions, _ := c.Take()
+	for _, a := range actions {
+		if a.Kind == verdict.Reply {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRefusalNeverCutsAnOpenFlow(t *testing.T) {
+	tests := []struct {
+		name   string
+		copies uint32
+		waited time.Duration
+		want   int
+	}{
+		{"FirstAtOnce", 0, 0, 1},
+		{"FirstAfterWaiting", 0, 150 * time.Millisecond, 0},
+		{"SecondCopy", 1, 0, 0},
+		{"ThirdCopy", 2, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: first(test.copies)})
+			now := instant.Instant(time.Second)
+			c.Heartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Draining: true, Slots: 4})
+			c.Take()
+			c.Message(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
+				Packet: []byte{1}, Step: message.Step_StepHome, Service: "padron", DataCentre: "a", Balancer: 5,
+				WaitedMillis: uint32(test.waited / time.Millisecond),
+			}}})
+			qt.Assert(t, resets(c), qt.Equals, test.want)
+		})
+	}
+}
