--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -46,6 +46,8 @@
 type Async struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	// pending counts lines that are queued or being written.
+	pending atomic.Int64
 }
 
 // NewAsync returns a writer that passes lines on to w.
@@ -55,6 +57,7 @@
 		for b := range a.lines {
 			// There is nowhere to report that the log cannot be written.
 			_, _ = w.Write(b)
+			a.pending.Add(-1)
 		}
 	}()
 	return a
@@ -62,9 +65,11 @@
 
 // Write queues a line.
 func (a *Async) Write(b []byte) (int, error) {
+	a.pending.Add(1)
 	select {
 	case a.lines <- bytes.Clone(b):
 	default:
+		a.pending.Add(-1)
 		a.dropped.Add(1)
 	}
 	return len(b), nil
@@ -73,9 +78,9 @@
 // Dropped returns the number of lines that were dropped.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
-// Flush waits until queued lines are taken, at most for a time.
+// Flush waits until queued lines are written, at most for a time.
 func (a *Async) Flush(limit time.Duration) {
-	for end := time.Now().Add(limit); len(a.lines) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(limit); a.pending.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
