Build both processes completely before they handle messages

Cause: a balancer that heard of a newer configuration between the opening of its socket and the start of its follower would have called a nil follower; a stopping agent read its state without the lock. Found by reading; the window is too short for a test.

Change: the process's lock is held until all parts are there; TestProcessesRelayAFlow builds the daemon with the race detector.

--- a/cmd/jaytackd/main_test.go
+++ b/cmd/jaytackd/main_test.go
@@ -48,7 +48,7 @@
 		t: t, Store: platformtest.New(), binary: filepath.Join(t.TempDir(), "jaytackd"),
 		ports: make(map[string]int), logs: make(map[string]*strings.Builder),
 	}
-	out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput()
+	out, err := exec.Command("go", "build", "-race", "-o", f.binary, ".").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	srv := httptest.NewServer(f.Store)
 	t.Cleanup(srv.Close)
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -69,6 +69,9 @@
 			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
 		}),
 	}
+	// Messages may come before all parts are there.
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.link, err = link.Listen(s.Instance, s.PeerPort, func(from flow.IP, e *message.Envelope) {
 		a.with(func(c *serving.Core) { c.Message(a.Now(), from, e) })
 	})
@@ -141,9 +144,7 @@
 	if s := a.core.State(); s != a.state {
 		before := a.state
 		a.state = s
-		if a.registry != nil {
-			a.registry.Publish(before, s)
-		}
+		a.registry.Publish(before, s)
 	}
 }
 
@@ -183,10 +184,8 @@
 
 func (a *Agent) publishMetrics() {
 	answers, waits := a.Metrics.Histogram("RequestTime"), a.Metrics.Histogram("WaitForUpstream")
-	a.with(func(c *serving.Core) {
-		c.OnAnswer(answers.Record)
-		c.OnWait = waits.Record
-	})
+	a.core.OnAnswer(answers.Record)
+	a.core.OnWait = waits.Record
 	a.Metrics.Func("Serving", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -202,8 +201,12 @@
 
 // Drain has new flows go elsewhere and serves until requests in progress are done.
 func (a *Agent) Drain() {
-	a.with(func(c *serving.Core) { c.Stop(a.Now()) })
-	if a.state == message.State_StateRestarting {
+	serves := false
+	a.with(func(c *serving.Core) {
+		c.Stop(a.Now())
+		serves = c.State() == message.State_StateRestarting
+	})
+	if serves {
 		time.Sleep(drainFor)
 	}
 }
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -61,6 +61,9 @@
 		Process: p, callers: callers, done: make(chan struct{}),
 		core: forwarding.New(forwarding.Config{Self: p.Self(), DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec}),
 	}
+	// Messages may come before all parts are there.
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.link, err = link.Listen(s.Instance, s.PeerPort, func(from flow.IP, e *message.Envelope) {
 		b.with(func(c *forwarding.Core) { c.Message(b.Now(), from, e) })
 	})
