--- /dev/null
+++ b/internal/relay/serving/members.go
@@ -0,0 +1,96 @@
+package serving
+
+import (
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/ownership"
+	"github.com/jaytack/jaytack/internal/relay/roster"
+)
+
+func (c *Core) FoundOwn(now instant.Instant, r *message.Record) {
+	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
+	c.Roster.FoundOwn(now)
+	if !c.up.known && r.State == message.State_StateDraining {
+		// The upstream said so to the earlier process; its next heartbeat decides.
+		c.up.Draining = true
+		c.announce(now)
+	}
+}
+
+func (c *Core) Stored(now instant.Instant, recs []*message.Record) {
+	c.Roster.Stored(now, recs)
+	c.rosterChanged(now)
+}
+
+func (c *Core) reported(now instant.Instant, from flow.IP, r *message.Record) {
+	if r == nil || flow.IP(r.Instance) != from || from == c.Self {
+		return
+	}
+	if !c.Roster.Report(now, r) {
+		return
+	}
+	if r.Service == c.Service {
+		c.board.Update(from, load.Signal{Slots: int(r.Slots), Busy: int(r.Busy), Idle: int(r.Idle), Cold: r.Cold})
+	}
+	c.rosterChanged(now)
+}
+
+func (c *Core) rosterChanged(now instant.Instant) {
+	if c.changes == c.Roster.Changes {
+		return
+	}
+	c.changes = c.Roster.Changes
+	c.rehoming = true
+	c.tellNewMembers(now)
+}
+
+func (c *Core) tellNewMembers(now instant.Instant) {
+	c.groupAt, c.balancersAt, c.urgent = min(c.groupAt, now), min(c.balancersAt, now), true
+}
+
+func (c *Core) rehome(now instant.Instant) {
+	if !c.rehoming {
+		return
+	}
+	left := claimsPerTick
+	c.table.All(func(f *ownership.Flow) {
+		if left == 0 || f.Phase != ownership.Open {
+			return
+		}
+		home, ok := c.Roster.Home(now, c.Service, f.DataCentre, f.ID.Hash())
+		if !ok || home == f.Home {
+			return
+		}
+		left--
+		c.claim(f, home)
+	})
+	c.rehoming = left == 0
+}
+
+func (c *Core) claim(f *ownership.Flow, home flow.IP) {
+	f.Home = home
+	if home != c.Self {
+		c.Send(home, &message.Envelope{Body: &message.Envelope_Claim{Claim: &message.Claim{Flow: message.FlowOf(f.ID)}}})
+	}
+}
+
+func (c *Core) expire(now instant.Instant) {
+	c.table.Expire(now)
+	for _, id := range c.directory.Expire(now) {
+		c.Explain("OwnerNotFound", "Flow", id, "Members", len(c.Roster.Group(c.Service)))
+	}
+	for _, r := range c.Roster.Expire(now) {
+		c.Believe("MemberForgotten", "Agent", r.ID(), "Service", r.Service, "Heard", sinceHeard(now, r))
+		c.board.Forget(r.ID())
+	}
+	c.rosterChanged(now)
+}
+
+func sinceHeard(now instant.Instant, r *roster.Member) any {
+	if r.Heard < 0 {
+		return "Never"
+	}
+	return now.Sub(r.Heard)
+}
--- /dev/null
+++ b/internal/relay/serving/offer.go
@@ -0,0 +1,106 @@
+package serving
+
+import (
+	"time"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/ownership"
+	"github.com/jaytack/jaytack/internal/relay/waiting"
+)
+
+func (c *Core) offer(now instant.Instant, p flow.Packet, m *message.Carried) {
+	if !p.Opens() {
+		c.asOwner(now, p, m)
+		return
+	}
+	if c.closedForNew() {
+		c.passOn(now, p, m)
+		return
+	}
+	if f := c.table.Get(p.Flow); f != nil && f.Phase >= ownership.Offered {
+		c.offerNow(now, p, m)
+		return
+	}
+	left := flow.OpeningLeft(p.AckSeq) - time.Duration(m.WaitedMillis)*time.Millisecond
+	if left < 0 {
+		c.Explain("FlowGivenUp", "Flow", p.Flow, "Copy", p.AckSeq, "Waited", m.WaitedMillis)
+		return
+	}
+	e := &waiting.Entry{
+		Flow: p.Flow, Carried: m, Asked: now.Add(left - flow.OpensFor), Until: now.Add(left), Came: now,
+		Aim: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
+	}
+	s := c.fullness(now)
+	switch {
+	case c.room.Len() == 0 && waiting.Passes(now, e, s):
+		c.offerNow(now, p, m)
+	case c.room.Add(now, e, s):
+		c.Counts.Waited++
+		c.Explain("FlowWaits", "Flow", p.Flow, "InSystem", s.InSystem, "Work", s.Work, "Waiting", c.room.Len(), "Copy", p.AckSeq)
+		c.letPass(now)
+	case len(m.Excluded) < maxPlacements && len(c.Roster.Group(c.Service)) > 1:
+		c.passOn(now, p, m)
+	default:
+		c.refuse(now, p, m, "UpstreamFull")
+	}
+}
+
+func (c *Core) fullness(now instant.Instant) waiting.State {
+	work := c.table.Work()
+	if c.up.coldUntil > now {
+		work = time.Duration(load.ColdFactor * float64(work))
+	}
+	return waiting.State{Slots: c.slots(), InSystem: c.table.InSystem(now), Work: work}
+}
+
+func (c *Core) slots() int {
+	if c.up.Slots > 0 {
+		return c.up.Slots
+	}
+	return usualSlots
+}
+
+func (c *Core) letPass(now instant.Instant) {
+	for {
+		e, ok := c.room.Next(now, c.fullness(now))
+		if !ok {
+			return
+		}
+		p, ok := c.Codec.FromCaller(e.Carried.Packet)
+		if !ok {
+			continue
+		}
+		c.OnWait(now.Sub(e.Came))
+		e.Carried.WaitedMillis += uint32(now.Sub(e.Came) / time.Millisecond)
+		if c.closedForNew() {
+			c.passOn(now, p, e.Carried)
+			continue
+		}
+		c.offerNow(now, p, e.Carried)
+	}
+}
+
+func (c *Core) offerNow(now instant.Instant, p flow.Packet, m *message.Carried) {
+	f := c.table.Offer(now, p)
+	c.via(f, m)
+	f.Excluded = m.Excluded
+	c.await(now, &c.up.openingSince, &c.up.owesOpening)
+	c.deliver(now, m, p)
+}
+
+func (c *Core) closedForNew() bool {
+	return c.state == message.State_StateDraining || c.state == message.State_StateGone || c.state == message.State_StateRestarting
+}
+
+func (c *Core) passOn(now instant.Instant, p flow.Packet, m *message.Carried) {
+	c.Counts.Redirected++
+	m.Excluded = append(m.Excluded, uint32(c.Self))
+	home, ok := c.Roster.Home(now, c.Service, m.DataCentre, p.Flow.Hash())
+	if !ok {
+		home = c.Self
+	}
+	c.carry(now, home, m, message.Step_StepHome)
+}
--- /dev/null
+++ b/internal/relay/serving/place.go
@@ -0,0 +1,85 @@
+package serving
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/roster"
+)
+
+func (c *Core) placeAgain(now instant.Instant, p flow.Packet, m *message.Carried) {
+	owner, ok := c.directory.Owner(now, p.Flow)
+	if ok && c.mayTake(now, owner) && !slices.Contains(m.Excluded, uint32(owner)) {
+		c.carry(now, owner, m, message.Step_StepPlace)
+		return
+	}
+	c.place(now, p, m)
+}
+
+func (c *Core) mayTake(now instant.Instant, a flow.IP) bool {
+	if a == c.Self {
+		return c.state == message.State_StateReady
+	}
+	r := c.Roster.Member(a)
+	return r != nil && r.Service == c.Service && r.Takes() && !r.Suspect(now)
+}
+
+func (c *Core) place(now instant.Instant, p flow.Packet, m *message.Carried) {
+	candidates := c.candidates(now, m)
+	to, ok := c.board.Choose(candidates)
+	if !ok || len(m.Excluded) >= maxPlacements {
+		c.refuse(now, p, m, "NoUpstreamTakesFlows")
+		return
+	}
+	c.Counts.Placed++
+	c.board.Place(to)
+	c.directory.Own(now, p.Flow, to)
+	c.Note("FlowPlaced", "Flow", p.Flow, "Agent", to, "Among", len(candidates),
+		"Cost", c.board.Cost(load.Candidate{Agent: to}), "Excluded", len(m.Excluded), "Copy", p.AckSeq)
+	c.carry(now, to, m, message.Step_StepPlace)
+}
+
+func (c *Core) candidates(now instant.Instant, m *message.Carried) []load.Candidate {
+	var out []load.Candidate
+	add := func(id flow.IP, dataCentre string, state message.State, suspect bool) {
+		if slices.Contains(m.Excluded, uint32(id)) {
+			return
+		}
+		cand := load.Candidate{Agent: id, Far: dataCentre != m.DataCentre}
+		switch state {
+		case message.State_StateReady:
+			cand.Doubtful = suspect
+		case message.State_StateUnknown:
+			cand.Doubtful = true
+		case message.State_StateSilent:
+			cand.Doubtful, cand.Unlikely = true, true
+		default:
+			return
+		}
+		cand.Unlikely = cand.Unlikely || suspect && !c.young(now)
+		out = append(out, cand)
+	}
+	add(c.Self, c.DataCentre, c.state, false)
+	for _, r := range c.Roster.Group(c.Service) {
+		if r.ID() != c.Self {
+			add(r.ID(), r.DataCentre, r.State, r.Suspect(now))
+		}
+	}
+	return out
+}
+
+func (c *Core) young(now instant.Instant) bool { return now.Sub(c.Started) < roster.SettleAfter }
+
+func (c *Core) refuse(now instant.Instant, p flow.Packet, m *message.Carried, reason string) {
+	if waited := time.Duration(m.WaitedMillis) * time.Millisecond; flow.MayBeOpen(p.AckSeq, waited) {
+		c.Explain("CopyDropped", "Flow", p.Flow, "Reason", reason, "Copy", p.AckSeq, "Waited", waited)
+		return
+	}
+	c.Counts.Refused++
+	c.reset(p.Flow, 0, reason, "InSystem", c.table.InSystem(now), "Waiting", c.room.Len(), "Members", len(c.Roster.Group(c.Service)), "Excluded", len(m.Excluded))
+	c.directory.Disown(p.Flow)
+}
--- /dev/null
+++ b/internal/relay/serving/report.go
@@ -0,0 +1,63 @@
+package serving
+
+import (
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/roster"
+)
+
+func (c *Core) Record(now instant.Instant) *message.Record {
+	_, idle := c.table.Load()
+	return &message.Record{
+		Instance: uint32(c.Self), Service: c.Service, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence,
+		State: c.state, Upstream: c.up.Upstream, UpstreamBorn: c.up.Born, Slots: uint32(c.up.Slots),
+		Busy: uint32(c.table.InSystem(now) + c.room.Len()), Idle: uint32(idle), Cold: c.up.coldUntil > now,
+	}
+}
+
+func (c *Core) Tick(now instant.Instant) {
+	c.announce(now)
+	if c.up.endAt != 0 && now >= c.up.endAt {
+		c.up.endAt = 0
+		c.endFlows(now, "UpstreamLeft")
+	}
+	c.letPass(now)
+	_, idle := c.table.Load()
+	c.board.Update(c.Self, load.Signal{Slots: c.up.Slots, Busy: c.table.InSystem(now) + c.room.Len(), Idle: idle, Cold: c.up.coldUntil > now})
+	if now >= c.expireAt {
+		c.expireAt = now.Add(expireEvery)
+		c.expire(now)
+	}
+	c.rehome(now)
+	c.report(now)
+}
+
+func (c *Core) report(now instant.Instant) {
+	group, balancers := now >= c.groupAt, now >= c.balancersAt
+	if !group && !balancers {
+		return
+	}
+	urgent := c.urgent
+	c.urgent = false
+	c.sequence++
+	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record(now)}}}
+	if group {
+		c.groupAt = now.Add(reportGroupEvery)
+		c.reports++
+		all := urgent || c.reports%farReports == 0
+		c.reportTo(e, c.Roster.Group(c.Service), func(m *roster.Member) bool { return all || m.DataCentre == c.DataCentre })
+	}
+	if balancers {
+		c.balancersAt = now.Add(reportBalancersEvery)
+		c.reportTo(e, c.Roster.Balancers(), func(*roster.Member) bool { return true })
+	}
+}
+
+func (c *Core) reportTo(e *message.Envelope, members []*roster.Member, to func(*roster.Member) bool) {
+	for _, m := range members {
+		if m.ID() != c.Self && to(m) {
+			c.Send(m.ID(), e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/serving/upstream.go
@@ -0,0 +1,122 @@
+package serving
+
+import (
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/ownership"
+	"github.com/jaytack/jaytack/internal/relay/verdict"
+)
+
+func (c *Core) await(now instant.Instant, since *instant.Instant, owes *bool) {
+	if !*owes {
+		*since, *owes = now, true
+	}
+}
+
+func (c *Core) Heartbeat(now instant.Instant, h Heartbeat) bool {
+	if h.Service != c.Service {
+		c.Believe("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service)
+		return false
+	}
+	old := c.up.Heartbeat
+	if c.up.known && (h.Born < old.Born || h.Born == old.Born && h.Sequence <= old.Sequence) {
+		c.Explain("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "KnownBorn", old.Born, "KnownSequence", old.Sequence)
+		return false
+	}
+	replaced := c.up.known && h.Born > old.Born
+	c.up.Heartbeat, c.up.known = h, true
+	c.table.SetSlots(c.slots())
+	c.up.beat = now
+	c.up.gone, c.up.endAt = false, 0
+	c.up.coldUntil = now.Add(h.ColdFor)
+	if replaced {
+		c.Believe("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Before", old.Upstream, "BornBefore", old.Born)
+		c.verifyFlows(old.Born)
+	}
+	c.alive(now)
+	c.announce(now)
+	return true
+}
+
+func (c *Core) verifyFlows(born int64) {
+	c.table.All(func(f *ownership.Flow) {
+		if f.Born == born && f.Last != nil {
+			c.Do(verdict.Action{Kind: verdict.Deliver, Flow: f.ID, Bytes: f.Last})
+		}
+	})
+}
+
+func (c *Core) endFlows(now instant.Instant, reason string) {
+	c.table.All(func(f *ownership.Flow) {
+		if f.Phase == ownership.Open && f.LastAck != 0 {
+			c.hint(f.ID, f.Balancer, 0)
+			c.reset(f.ID, f.LastAck, reason)
+		}
+		c.table.Drop(f)
+	})
+}
+
+func (c *Core) Leave(now instant.Instant, id string) {
+	if !c.up.known || id != c.up.Upstream {
+		c.Explain("LeaveLate", "Upstream", id, "Known", c.up.Upstream)
+		return
+	}
+	c.up.gone, c.up.endAt = true, now.Add(endAfterLeave)
+	c.announce(now)
+}
+
+func (c *Core) Stop(now instant.Instant) {
+	c.stopping = true
+	c.announce(now)
+}
+
+func (c *Core) alive(now instant.Instant) {
+	c.up.heard, c.up.refuses = now, false
+	c.up.owesOpening, c.up.owesData = false, false
+	if c.state != message.State_StateUnknown && c.state != message.State_StateSilent {
+		return
+	}
+	c.announce(now)
+	queue := c.missed
+	c.missed = nil
+	for _, m := range queue {
+		if now.Sub(m.at) < flow.OpensFor {
+			c.Do(verdict.Action{Kind: verdict.Deliver, Bytes: m.packet})
+		}
+	}
+}
+
+func (c *Core) stateNow(now instant.Instant) message.State {
+	switch {
+	case c.up.gone:
+		return message.State_StateGone
+	case c.stopping:
+		return message.State_StateRestarting
+	case c.up.Draining:
+		return message.State_StateDraining
+	case c.up.refuses:
+		return message.State_StateSilent
+	case c.up.owesOpening && now.Sub(c.up.openingSince) > silentAfterOpening,
+		c.up.owesData && now.Sub(c.up.dataSince) > silentAfterData:
+		if c.state == message.State_StateUnknown {
+			return c.state
+		}
+		return message.State_StateSilent
+	case c.up.heard == 0:
+		return message.State_StateUnknown
+	}
+	return message.State_StateReady
+}
+
+func (c *Core) announce(now instant.Instant) {
+	s := c.stateNow(now)
+	if s == c.state {
+		return
+	}
+	c.Believe("UpstreamStateChanged", "State", s, "Before", c.state, "Upstream", c.up.Upstream, "Born", c.up.Born,
+		"Heard", now.Sub(c.up.heard), "Beat", now.Sub(c.up.beat))
+	c.state = s
+	c.groupAt, c.balancersAt, c.urgent = now, now, true
+	c.rehoming = true
+}
