Fetch a newer configuration from peers while the store is out of reach

Cause: a balancer that cannot reach the store heard of newer versions and could not get them; one that started meanwhile stayed unready though its peers know all.

Change: balancers give each other the value in force on the peers' port; a balancer is ready once it knows agents by their reports. Test of the follower with the store down, and of agents that restart while the store is down.

--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -10,8 +10,11 @@
 package balancer
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -28,6 +31,8 @@
 )
 
 const (
+	// configurationPath is where balancers fetch the configuration from each other.
+	configurationPath = "/configuration"
 	// maxPacket is the largest packet that is read.
 	maxPacket = 2048
 	// drainFor is how long a stopping balancer still forwards: the routers ask twice
@@ -78,6 +83,9 @@
 		defer b.mu.Unlock()
 		return b.core.Watches(b.Now())
 	}
+	follow.Fetch = func(ctx context.Context, from netip.Addr) ([]byte, error) {
+		return process.Fetch(ctx, netip.AddrPortFrom(from, s.PeerPort), configurationPath)
+	}
 	b.follower = follower.New(follow, p.Store, p.Journal)
 	b.registry = registry.New(registry.Config{
 		Self: p.Self(), Record: b.record,
@@ -91,6 +99,9 @@
 	go func() { b.readCallers() }()
 	go func() { b.tick() }()
 	b.publishMetrics()
+	if err := p.Serve(netip.AddrPortFrom(s.Instance, s.PeerPort), b.peerHandler()); err != nil {
+		return nil, err
+	}
 	if err := p.ServeMetrics(); err != nil {
 		return nil, err
 	}
@@ -106,6 +117,21 @@
 	return b, nil
 }
 
+// peerHandler gives other balancers the configuration in force.
+func (b *Balancer) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+configurationPath, func(w http.ResponseWriter, _ *http.Request) {
+		v := b.follower.Value()
+		if v == nil {
+			http.Error(w, "no configuration", http.StatusNotFound)
+			return
+		}
+		// A peer that is gone fetches from another.
+		_, _ = w.Write(v)
+	})
+	return mux
+}
+
 func (b *Balancer) record() *message.Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -125,7 +151,7 @@
 		case verdict.Reply:
 			b.Reply(a.Flow, a.Bytes)
 		case verdict.Refresh:
-			b.follower.Refresh()
+			b.follower.Refresh(a.To.Addr())
 		}
 	}
 	b.Log(decisions)
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -2,17 +2,20 @@
 //
 // A watch tells of changes at once. It may go silent, and the history that it needs
 // may be dropped, so the key itself is read again after each failure, when another
-// balancer has a newer version, and from time to time.
+// balancer has a newer version, and from time to time. While the store cannot be
+// reached, newer versions are fetched from the balancers that have them.
 //
 // # Usage
 //
 //	f := follower.New(cfg, store, journal)
-//	f.Refresh()
+//	f.Refresh(peer)
 //	f.Close()
 package follower
 
 import (
 	"context"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,6 +49,9 @@
 	// Watches reports whether this process is among those that watch; the others
 	// hear of changes from them.
 	Watches func() bool
+	// Fetch returns the value that another balancer has in force, for when the store
+	// cannot be reached.
+	Fetch func(ctx context.Context, from netip.Addr) ([]byte, error)
 }
 
 // Follower follows one key.
@@ -57,6 +63,10 @@
 	done   chan struct{}
 	wake   chan struct{}
 
+	// news is a balancer that has a newer version, value is the newest read.
+	news  atomic.Pointer[netip.Addr]
+	value atomic.Pointer[[]byte]
+
 	failing  bool
 	retry    time.Duration
 	revision store.Revision
@@ -74,8 +84,17 @@
 	return f
 }
 
-// Refresh has the key read soon.
-func (f *Follower) Refresh() {
+// Value returns the value in force, nil for none.
+func (f *Follower) Value() []byte {
+	if v := f.value.Load(); v != nil {
+		return *v
+	}
+	return nil
+}
+
+// Refresh has the key read soon, since another balancer has a newer version.
+func (f *Follower) Refresh(from netip.Addr) {
+	f.news.Store(&from)
 	select {
 	case f.wake <- struct{}{}:
 	default:
@@ -90,6 +109,7 @@
 
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.fetchNews(ctx)
 		err := f.read(ctx)
 		if err == nil {
 			err = f.watch(ctx)
@@ -101,6 +121,21 @@
 	}
 }
 
+// fetchNews takes a newer version from the balancer that has it, while the store
+// cannot be reached.
+func (f *Follower) fetchNews(ctx context.Context) {
+	from := f.news.Swap(nil)
+	if from == nil || !f.failing {
+		return
+	}
+	value, err := f.Fetch(ctx, *from)
+	if err != nil {
+		f.Warn("ConfigurationUnfetched", "From", *from, "Reason", err)
+		return
+	}
+	f.apply(value, "Peer")
+}
+
 func (f *Follower) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -153,16 +188,24 @@
 	if kv.Key != f.Key || kv.Value == nil || kv.Revision <= f.seen {
 		return
 	}
-	c, problems, err := f.Decode(kv.Value)
+	if f.apply(kv.Value, source) {
+		f.seen = kv.Revision
+	}
+}
+
+// apply decodes a value and hands it on; it returns false for one that cannot be read.
+func (f *Follower) apply(value []byte, source string) bool {
+	c, problems, err := f.Decode(value)
 	if err != nil {
-		f.Error("ConfigurationUnreadable", "Revision", kv.Revision, "Reason", err)
-		return
+		f.Error("ConfigurationUnreadable", "Source", source, "Reason", err)
+		return false
 	}
 	for _, p := range problems {
-		f.Warn("RouteUnreadable", "Revision", kv.Revision, "Reason", p)
+		f.Warn("RouteUnreadable", "Version", c.Version, "Source", source, "Reason", p)
 	}
-	f.seen = kv.Revision
+	f.value.Store(&value)
 	f.Apply(c, source)
+	return true
 }
 
 // idle waits until it may be this process's turn to watch.
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -20,6 +20,8 @@
 
 const key store.Key = "configuration"
 
+var peer = netip.MustParseAddr("127.0.0.1")
+
 // fixture is a store and one follower.
 type fixture struct {
 	t      *testing.T
@@ -64,6 +66,7 @@
 			}
 		},
 		Watches: func() bool { return watches },
+		Fetch:   func(context.Context, netip.Addr) ([]byte, error) { return []byte("12"), nil },
 	}, f.client, journal.New(io.Discard, journal.Info, 1))
 	f.t.Cleanup(x.Close)
 	return x
@@ -127,10 +130,23 @@
 	f.put("9")
 	time.Sleep(50 * time.Millisecond)
 	qt.Assert(t, f.version(), qt.Equals, routes.Version(3), qt.Commentf("nobody has told it yet"))
-	x.Refresh()
+	x.Refresh(peer)
 	f.reaches(9, time.Second)
 }
 
+func TestNewsAreFetchedFromPeersWhileTheStoreIsDown(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.put("3")
+	x := f.follow(true)
+	f.reaches(3, time.Second)
+	f.Store.SetFaults(storage.Faults{Down: true})
+	time.Sleep(300 * time.Millisecond)
+	x.Refresh(peer)
+	f.reaches(12, time.Second)
+	qt.Assert(t, string(x.Value()), qt.Equals, "12")
+}
+
 func TestUnreadableAndOlderChangeNothing(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -113,7 +113,7 @@
 		return false, "Stopping"
 	case c.Routes.Version() == 0:
 		return false, "NoConfiguration"
-	case !c.Roster.Loaded():
+	case !c.Roster.Loaded() && c.Roster.Size() == 0:
 		return false, "NoMembers"
 	}
 	agents := 0
--- a/internal/relay/process/process.go
+++ b/internal/relay/process/process.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -118,6 +119,32 @@
 	return nil
 }
 
+// ErrFetch reports a peer that did not give what it was asked for.
+var ErrFetch = eris.New("peer did not answer")
+
+// maxFetched bounds what is fetched from a peer: the most that the store holds.
+const maxFetched = 1 << 20
+
+// Fetch gets a path from a peer over HTTP, within StoreTimeout.
+func Fetch(ctx context.Context, peer netip.AddrPort, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
+	if err != nil {
+		return nil, eris.Wrap(ErrFetch, err.Error())
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(ErrFetch, err.Error())
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxFetched))
+	if err != nil || res.StatusCode != http.StatusOK {
+		return nil, eris.Wrapf(ErrFetch, "status %d, %v", res.StatusCode, err)
+	}
+	return b, nil
+}
+
 // ServeMetrics serves the metrics and notes what all processes count.
 func (p *Process) ServeMetrics() error {
 	p.Metrics.Func("Store", func() any {
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -236,6 +236,19 @@
 	qt.Assert(t, w.Broken, qt.HasLen, 0)
 }
 
+func TestProcessesRestartWhileTheStoreIsDown(t *testing.T) {
+	w := New(registro(12))
+	w.At(2*time.Second, func() { w.StoreDown = true })
+	w.At(3*time.Second, func() {
+		w.Restart(w.Agents[0], 200*time.Millisecond)
+		w.Restart(w.Agents[3], 200*time.Millisecond)
+	})
+	w.Run(9 * time.Second)
+	qt.Assert(t, w.Broken, qt.HasLen, 0)
+	got := served(w, 4*time.Second, 8*time.Second)
+	qt.Assert(t, got > 0.95, qt.IsTrue, qt.Commentf("%.3f", got))
+}
+
 func TestSameSeedSameResults(t *testing.T) {
 	run := func() []Result {
 		w := New(registro(5))
