Put the serving core's comments back where they belong

Cause: the split of the serving core left doc comments behind in the old files.

Change: split again from the state before, comments with their functions. No code changed; tests pass.

--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -124,9 +124,8 @@
 	}
 }
 
-// step does what is due. The entries are read again once a first entry is
-// written: of two processes
-// that write at once, the later one sees the other.
+// step does what is due. The entries are read again once a first entry is written:
+// of two processes that write at once, the later one sees the other.
 func (r *Registry) step(ctx context.Context) error {
 	if !r.loaded || !time.Now().Before(r.readAt) {
 		if err := r.read(ctx, r.loaded); err != nil {
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -9,7 +9,6 @@
 )
 
 // asHome finds the owner of an open flow, or chooses one for a new flow.
-
 func (c *Core) asHome(now instant.Instant, p flow.Packet, m *message.Carried) {
 	m.ByHome = true
 	if p.Opens() {
@@ -29,7 +28,6 @@
 }
 
 // isMember reports whether an agent of the own service may hold flows.
-
 func (c *Core) isMember(a flow.IP) bool {
 	if a == c.Self {
 		return true
@@ -38,30 +36,7 @@
 	return r != nil && r.Service == c.Service && r.State != message.State_StateGone
 }
 
-// placeAgain sends a copy of a flow's first packet where the first went, unless
-
-// that agent has fallen silent since.
-
-// mayTake reports whether an agent is known to take new flows.
-
-// place chooses the agent of a new flow.
-
-// candidates lists the agents that may take a new flow. Those that have not
-
-// reported yet are less likely, but after a loss of many processes the first ones
-
-// that report must not get all flows.
-
-// young reports whether the process has started so lately that peers may not have
-
-// reported yet.
-
-// refuse turns a new flow away that no upstream can take; it has not run. Where an
-
-// earlier copy may have been accepted elsewhere the caller hears nothing.
-
 // search asks all agents of the service that have not denied the flow.
-
 func (c *Core) search(now instant.Instant, p flow.Packet, m *message.Carried) {
 	c.directory.Disown(p.Flow)
 	s := c.directory.Search(now, p.Flow)
@@ -96,7 +71,6 @@
 }
 
 // claimed notes the owner of a flow and passes on what waited for it.
-
 func (c *Core) claimed(now instant.Instant, from flow.IP, id flow.ID) {
 	c.Counts.Claims++
 	s := c.directory.Own(now, id, from)
@@ -110,7 +84,6 @@
 }
 
 // denied notes that an agent does not hold a flow.
-
 func (c *Core) denied(now instant.Instant, from flow.IP, id flow.ID, members []uint32) {
 	c.Counts.Denials++
 	s := c.directory.Searching(id)
@@ -123,7 +96,6 @@
 }
 
 // askMissing asks agents that others know and this one does not.
-
 func (c *Core) askMissing(now instant.Instant, s *directory.Search, members []uint32) {
 	for _, x := range members {
 		a := flow.IP(x)
@@ -136,7 +108,6 @@
 }
 
 // probe asks an agent whether it holds the flow of a packet.
-
 func (c *Core) probe(now instant.Instant, to flow.IP, m *message.Carried) {
 	c.carry(now, to, &message.Carried{
 		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
@@ -145,7 +116,6 @@
 }
 
 // conclude resets a flow once every member of the service has denied it.
-
 func (c *Core) conclude(now instant.Instant, id flow.ID, s *directory.Search) {
 	if !c.Roster.Settled(now) || !s.Denied(c.Self) || s.Missing() {
 		return
@@ -160,7 +130,6 @@
 }
 
 // returned searches for the owner of a flow that the sender does not hold.
-
 func (c *Core) returned(now instant.Instant, from flow.IP, p flow.Packet, m *message.Carried) {
 	if owner, ok := c.directory.Owner(now, p.Flow); ok && owner != from && c.isMember(owner) && c.directory.Searching(p.Flow) == nil {
 		c.carry(now, owner, m, message.Step_StepOwner)
@@ -172,17 +141,3 @@
 	}
 	c.search(now, p, m)
 }
-
-// FoundOwn takes in the entry that an earlier process of the instance left.
-
-// Stored takes in all entries of the store.
-
-// rosterChanged has homes reckoned anew after a change of the members.
-
-// tellNewMembers reports at once, so that new members need not wait.
-
-// rehome claims flows at their homes where these have changed.
-
-// claim tells a home that the upstream holds a flow.
-
-// expire forgets what is old.
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -9,6 +9,7 @@
 	"github.com/jaytack/jaytack/internal/relay/roster"
 )
 
+// FoundOwn takes in the entry that an earlier process of the instance left.
 func (c *Core) FoundOwn(now instant.Instant, r *message.Record) {
 	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
 	c.Roster.FoundOwn(now)
@@ -19,6 +20,7 @@
 	}
 }
 
+// Stored takes in all entries of the store.
 func (c *Core) Stored(now instant.Instant, recs []*message.Record) {
 	c.Roster.Stored(now, recs)
 	c.rosterChanged(now)
@@ -37,6 +39,7 @@
 	c.rosterChanged(now)
 }
 
+// rosterChanged has homes reckoned anew after a change of the members.
 func (c *Core) rosterChanged(now instant.Instant) {
 	if c.changes == c.Roster.Changes {
 		return
@@ -46,10 +49,12 @@
 	c.tellNewMembers(now)
 }
 
+// tellNewMembers reports at once, so that new members need not wait.
 func (c *Core) tellNewMembers(now instant.Instant) {
 	c.groupAt, c.balancersAt, c.urgent = min(c.groupAt, now), min(c.balancersAt, now), true
 }
 
+// rehome claims flows at their homes where these have changed.
 func (c *Core) rehome(now instant.Instant) {
 	if !c.rehoming {
 		return
@@ -69,6 +74,7 @@
 	c.rehoming = left == 0
 }
 
+// claim tells a home that the upstream holds a flow.
 func (c *Core) claim(f *ownership.Flow, home flow.IP) {
 	f.Home = home
 	if home != c.Self {
@@ -76,6 +82,7 @@
 	}
 }
 
+// expire forgets what is old.
 func (c *Core) expire(now instant.Instant) {
 	c.table.Expire(now)
 	for _, id := range c.directory.Expire(now) {
--- a/internal/relay/serving/offer.go
+++ b/internal/relay/serving/offer.go
@@ -11,6 +11,7 @@
 	"github.com/jaytack/jaytack/internal/relay/waiting"
 )
 
+// offer delivers the first packet of a flow that was placed here.
 func (c *Core) offer(now instant.Instant, p flow.Packet, m *message.Carried) {
 	if !p.Opens() {
 		c.asOwner(now, p, m)
@@ -48,6 +49,7 @@
 	}
 }
 
+// fullness returns how full the upstream is.
 func (c *Core) fullness(now instant.Instant) waiting.State {
 	work := c.table.Work()
 	if c.up.coldUntil > now {
@@ -63,6 +65,7 @@
 	return usualSlots
 }
 
+// letPass offers flows that wait as far as the upstream has room.
 func (c *Core) letPass(now instant.Instant) {
 	for {
 		e, ok := c.room.Next(now, c.fullness(now))
@@ -83,6 +86,7 @@
 	}
 }
 
+// offerNow delivers the first packet of a flow.
 func (c *Core) offerNow(now instant.Instant, p flow.Packet, m *message.Carried) {
 	f := c.table.Offer(now, p)
 	c.via(f, m)
@@ -91,10 +95,12 @@
 	c.deliver(now, m, p)
 }
 
+// closedForNew reports whether the upstream takes no new flows.
 func (c *Core) closedForNew() bool {
 	return c.state == message.State_StateDraining || c.state == message.State_StateGone || c.state == message.State_StateRestarting
 }
 
+// passOn has another agent chosen for a new flow that the upstream does not take.
 func (c *Core) passOn(now instant.Instant, p flow.Packet, m *message.Carried) {
 	c.Counts.Redirected++
 	m.Excluded = append(m.Excluded, uint32(c.Self))
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -11,24 +11,11 @@
 	"github.com/jaytack/jaytack/internal/relay/verdict"
 )
 
-// offer delivers the first packet of a flow that was placed here.
-
-// fullness returns how full the upstream is.
-
-// letPass offers flows that wait as far as the upstream has room.
-
-// offerNow delivers the first packet of a flow.
-
-// closedForNew reports whether the upstream takes no new flows.
-
-// passOn has another agent chosen for a new flow that the upstream does not take.
-
 func (c *Core) via(f *ownership.Flow, m *message.Carried) {
 	f.Balancer, f.DataCentre, f.Timeout = flow.IP(m.Balancer), m.DataCentre, time.Duration(m.TimeoutMillis)*time.Millisecond
 }
 
 // asOwner delivers a packet of a flow that is taken to be open here.
-
 func (c *Core) asOwner(now instant.Instant, p flow.Packet, m *message.Carried) {
 	if p.Opens() {
 		c.offer(now, p, m)
@@ -51,7 +38,6 @@
 }
 
 // pass delivers a packet that does not open a flow.
-
 func (c *Core) pass(now instant.Instant, p flow.Packet, m *message.Carried, asker flow.IP) {
 	f := c.table.FromCaller(now, p)
 	c.via(f, m)
@@ -67,12 +53,8 @@
 	c.deliver(now, m, p)
 }
 
-// await notes that the upstream owes an answer.
-
 // deliver hands a packet to the upstream, and keeps it while the upstream may not
-
 // be listening yet.
-
 func (c *Core) deliver(now instant.Instant, m *message.Carried, p flow.Packet) {
 	c.Counts.Delivered++
 	c.Do(verdict.Action{Kind: verdict.Deliver, Flow: p.Flow, Bytes: m.Packet})
@@ -87,7 +69,6 @@
 }
 
 // probed finds out whether the upstream holds a flow.
-
 func (c *Core) probed(now instant.Instant, from flow.IP, p flow.Packet, m *message.Carried) {
 	f := c.table.Get(p.Flow)
 	if c.state == message.State_StateGone || f != nil && f.Foreign(p) {
@@ -103,7 +84,6 @@
 }
 
 // answer claims a flow at the agent that asked.
-
 func (c *Core) answer(now instant.Instant, f *ownership.Flow, asker flow.IP) {
 	if asker == c.Self {
 		c.claimed(now, c.Self, f.ID)
@@ -128,7 +108,6 @@
 }
 
 // giveBack returns a packet to the flow's home: the upstream does not hold the flow.
-
 func (c *Core) giveBack(now instant.Instant, p flow.Packet, m *message.Carried) {
 	c.hint(p.Flow, flow.IP(m.Balancer), 0)
 	home, ok := c.Roster.Home(now, c.Service, m.DataCentre, p.Flow.Hash())
@@ -139,7 +118,6 @@
 }
 
 // Upstream handles a packet that the upstream sent.
-
 func (c *Core) Upstream(now instant.Instant, b []byte) {
 	p, ok := c.Codec.FromUpstream(b)
 	if !ok {
@@ -168,9 +146,7 @@
 }
 
 // disowned handles a reset of a flow that the upstream has not shown to hold: it
-
 // may be open elsewhere, so the caller must not get it.
-
 func (c *Core) disowned(now instant.Instant, p flow.Packet, f *ownership.Flow) {
 	c.Explain("UpstreamDisownsFlow", "Flow", p.Flow, "Asked", f != nil && f.Asker != 0)
 	if f == nil {
@@ -184,7 +160,6 @@
 }
 
 // opened tells who needs to know that the upstream holds a flow.
-
 func (c *Core) opened(now instant.Instant, f *ownership.Flow, p flow.Packet) {
 	if f.DataCentre == "" {
 		f.DataCentre = c.DataCentre
@@ -202,7 +177,6 @@
 }
 
 // bounced handles a caller's packet that the upstream did not take.
-
 func (c *Core) bounced(now instant.Instant, p flow.Packet) {
 	c.Counts.Bounced++
 	// The packet outlives the buffer that it was read into.
@@ -238,31 +212,3 @@
 		c.giveBack(now, p, m)
 	}
 }
-
-// Heartbeat takes in what the upstream says about itself and reports whether it
-
-// was news.
-
-// verifyFlows delivers the callers' last packets again where a request is in
-
-// progress that an earlier upstream accepted. What bounces is reset; a flow that the
-
-// upstream holds after all gets a copy that it knows.
-
-// endFlows resets all flows of an upstream that is no more.
-
-// Leave takes in that the upstream has left.
-
-// Stop announces that the process ends.
-
-// alive notes that the upstream was heard, and delivers again what it may have missed.
-
-// stateNow returns the state to announce.
-
-// announce changes the own state if need be and has others told at once.
-
-// Record returns what the agent announces.
-
-// Tick does what is due.
-
-// report tells peers and balancers about the agent.
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -11,6 +11,8 @@
 	"github.com/jaytack/jaytack/internal/relay/roster"
 )
 
+// placeAgain sends a copy of a flow's first packet where the first went, unless
+// that agent has fallen silent since.
 func (c *Core) placeAgain(now instant.Instant, p flow.Packet, m *message.Carried) {
 	owner, ok := c.directory.Owner(now, p.Flow)
 	if ok && c.mayTake(now, owner) && !slices.Contains(m.Excluded, uint32(owner)) {
@@ -20,6 +22,7 @@
 	c.place(now, p, m)
 }
 
+// mayTake reports whether an agent is known to take new flows.
 func (c *Core) mayTake(now instant.Instant, a flow.IP) bool {
 	if a == c.Self {
 		return c.state == message.State_StateReady
@@ -28,6 +31,7 @@
 	return r != nil && r.Service == c.Service && r.Takes() && !r.Suspect(now)
 }
 
+// place chooses the agent of a new flow.
 func (c *Core) place(now instant.Instant, p flow.Packet, m *message.Carried) {
 	candidates := c.candidates(now, m)
 	to, ok := c.board.Choose(candidates)
@@ -43,6 +47,9 @@
 	c.carry(now, to, m, message.Step_StepPlace)
 }
 
+// candidates lists the agents that may take a new flow. Those that have not
+// reported yet are less likely, but after a loss of many processes the first ones
+// that report must not get all flows.
 func (c *Core) candidates(now instant.Instant, m *message.Carried) []load.Candidate {
 	var out []load.Candidate
 	add := func(id flow.IP, dataCentre string, state message.State, suspect bool) {
@@ -72,8 +79,12 @@
 	return out
 }
 
+// young reports whether the process has started so lately that peers may not have
+// reported yet.
 func (c *Core) young(now instant.Instant) bool { return now.Sub(c.Started) < roster.SettleAfter }
 
+// refuse turns a new flow away that no upstream can take; it has not run. Where an
+// earlier copy may have been accepted elsewhere the caller hears nothing.
 func (c *Core) refuse(now instant.Instant, p flow.Packet, m *message.Carried, reason string) {
 	if waited := time.Duration(m.WaitedMillis) * time.Millisecond; flow.MayBeOpen(p.AckSeq, waited) {
 		c.Explain("CopyDropped", "Flow", p.Flow, "Reason", reason, "Copy", p.AckSeq, "Waited", waited)
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -7,6 +7,7 @@
 	"github.com/jaytack/jaytack/internal/relay/roster"
 )
 
+// Record returns what the agent announces.
 func (c *Core) Record(now instant.Instant) *message.Record {
 	_, idle := c.table.Load()
 	return &message.Record{
@@ -16,6 +17,7 @@
 	}
 }
 
+// Tick does what is due.
 func (c *Core) Tick(now instant.Instant) {
 	c.announce(now)
 	if c.up.endAt != 0 && now >= c.up.endAt {
@@ -33,6 +35,7 @@
 	c.report(now)
 }
 
+// report tells peers and balancers about the agent.
 func (c *Core) report(now instant.Instant) {
 	group, balancers := now >= c.groupAt, now >= c.balancersAt
 	if !group && !balancers {
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -8,12 +8,15 @@
 	"github.com/jaytack/jaytack/internal/relay/verdict"
 )
 
+// await notes that the upstream owes an answer.
 func (c *Core) await(now instant.Instant, since *instant.Instant, owes *bool) {
 	if !*owes {
 		*since, *owes = now, true
 	}
 }
 
+// Heartbeat takes in what the upstream says about itself and reports whether it
+// was news.
 func (c *Core) Heartbeat(now instant.Instant, h Heartbeat) bool {
 	if h.Service != c.Service {
 		c.Believe("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service)
@@ -39,6 +42,9 @@
 	return true
 }
 
+// verifyFlows delivers the callers' last packets again where a request is in
+// progress that an earlier upstream accepted. What bounces is reset; a flow that the
+// upstream holds after all gets a copy that it knows.
 func (c *Core) verifyFlows(born int64) {
 	c.table.All(func(f *ownership.Flow) {
 		if f.Born == born && f.Last != nil {
@@ -47,6 +53,7 @@
 	})
 }
 
+// endFlows resets all flows of an upstream that is no more.
 func (c *Core) endFlows(now instant.Instant, reason string) {
 	c.table.All(func(f *ownership.Flow) {
 		if f.Phase == ownership.Open && f.LastAck != 0 {
@@ -57,6 +64,7 @@
 	})
 }
 
+// Leave takes in that the upstream has left.
 func (c *Core) Leave(now instant.Instant, id string) {
 	if !c.up.known || id != c.up.Upstream {
 		c.Explain("LeaveLate", "Upstream", id, "Known", c.up.Upstream)
@@ -66,11 +74,13 @@
 	c.announce(now)
 }
 
+// Stop announces that the process ends.
 func (c *Core) Stop(now instant.Instant) {
 	c.stopping = true
 	c.announce(now)
 }
 
+// alive notes that the upstream was heard, and delivers again what it may have missed.
 func (c *Core) alive(now instant.Instant) {
 	c.up.heard, c.up.refuses = now, false
 	c.up.owesOpening, c.up.owesData = false, false
@@ -87,6 +97,7 @@
 	}
 }
 
+// stateNow returns the state to announce.
 func (c *Core) stateNow(now instant.Instant) message.State {
 	switch {
 	case c.up.gone:
@@ -109,6 +120,7 @@
 	return message.State_StateReady
 }
 
+// announce changes the own state if need be and has others told at once.
 func (c *Core) announce(now instant.Instant) {
 	s := c.stateNow(now)
 	if s == c.state {
