Search all services of a route before a reset

Cause: found by reading. A flow was looked for in the one service that the present configuration gives it. After a change of a route's shares or service an open flow whose owner nobody knew any longer was denied by the wrong group and reset.

Change: routes remember the services that earlier versions named; packets of open flows carry the other services; a search that one service has denied goes on at the next. The stand-in checks packets against all services ever named and can change routes.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -174,10 +174,13 @@
 		Packet: p.Bytes, Service: service, Balancer: uint32(c.Self), DataCentre: c.DataCentre,
 		WaitedMillis: uint32(waited / time.Millisecond), Priority: r.Priority, AimMillis: uint32(r.Aim / time.Millisecond), TimeoutMillis: uint32(r.Timeout / time.Millisecond),
 	}
+	if !p.Opens() {
+		m.Others = r.Others(service)
+	}
 	if h := c.hints[p.Flow]; h != nil && !p.Opens() {
 		if owner := c.Roster.Member(h.owner); owner != nil && r.Serves(owner.Service) {
 			h.used = now
-			m.Service, m.Step = owner.Service, message.Step_StepOwner
+			m.Service, m.Step, m.Others = owner.Service, message.Step_StepOwner, r.Others(owner.Service)
 			c.Counts.ToOwner++
 			c.send(h.owner, m)
 			return
--- a/internal/relay/ownership/ownership.go
+++ b/internal/relay/ownership/ownership.go
@@ -87,6 +87,8 @@
 	LastAck uint32
 	// Born is the start of the upstream that accepted the flow, 0 if unknown.
 	Born int64
+	// Others lists other services that may hold the flow if this one does not.
+	Others []string
 	// Last is the caller's last packet of the request in progress.
 	Last []byte
 	// Excluded lists the agents that did not take the new flow before.
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -50,6 +50,9 @@
 	Address flow.Endpoint
 	// Shares lists the services that take new flows, at least one.
 	Shares []Share
+	// Former lists services that earlier versions named; flows that are open stay
+	// there.
+	Former []string
 	Kind   Kind
 	// Priority of the requests, 0 is the highest.
 	Priority uint32
@@ -76,16 +79,38 @@
 	return r.Shares[0].Service
 }
 
-// Serves reports whether the route names a service.
-func (r *Route) Serves(service string) bool {
+// Services lists the services that the route names or named, those of now first.
+func (r *Route) Services() []string {
+	out := make([]string, 0, len(r.Shares)+len(r.Former))
 	for _, s := range r.Shares {
-		if s.Service == service {
-			return true
+		out = append(out, s.Service)
+	}
+	return append(out, r.Former...)
+}
+
+// Serves reports whether open flows of the route may be at a service.
+func (r *Route) Serves(service string) bool { return slices.Contains(r.Services(), service) }
+
+// Others lists the services besides one that open flows of the route may be at.
+func (r *Route) Others(service string) []string {
+	return slices.DeleteFunc(r.Services(), func(s string) bool { return s == service })
+}
+
+// remember lists the services that the route's predecessor named and it does not.
+func (r *Route) remember(before *Route) {
+	if before == nil {
+		return
+	}
+	for _, s := range before.Services() {
+		if !r.Serves(s) && len(r.Former) < maxFormer {
+			r.Former = append(r.Former, s)
 		}
 	}
-	return false
 }
 
+// maxFormer bounds the services that a route remembers.
+const maxFormer = 4
+
 // Configuration is one version of all routes.
 type Configuration struct {
 	Version Version
@@ -119,9 +144,11 @@
 		return false
 	}
 	b.version, b.idle = c.Version, c.Idle
+	before := b.routes
 	b.routes = make(map[flow.Endpoint]*Route, len(c.Routes))
 	services := make(map[string]bool)
 	for i := range c.Routes {
+		c.Routes[i].remember(before[c.Routes[i].Address])
 		b.routes[c.Routes[i].Address] = &c.Routes[i]
 		for _, s := range c.Routes[i].Shares {
 			services[s.Service] = true
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -111,7 +111,7 @@
 func (c *Core) probe(now instant.Instant, to flow.IP, m *message.Carried) {
 	c.carry(now, to, &message.Carried{
 		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
-		TimeoutMillis: m.TimeoutMillis,
+		TimeoutMillis: m.TimeoutMillis, Others: m.Others,
 	}, message.Step_StepProbe)
 }
 
@@ -125,8 +125,31 @@
 			return
 		}
 	}
-	c.reset(id, s.LastAck, "AllUpstreamsDenied", "Denials", s.Denials(), "Took", now.Sub(s.Started))
 	c.directory.End(id)
+	if c.handOn(now, id, s) {
+		return
+	}
+	c.reset(id, s.LastAck, "AllUpstreamsDenied", "Denials", s.Denials(), "Took", now.Sub(s.Started))
+}
+
+// handOn has the next service searched that may hold a flow, and reports whether
+// there is one.
+func (c *Core) handOn(now instant.Instant, id flow.ID, s *directory.Search) bool {
+	for i, service := range s.Last.GetOthers() {
+		home, ok := c.Roster.Home(now, service, s.Last.DataCentre, id.Hash())
+		if !ok {
+			continue
+		}
+		c.Explain("SearchHandedOn", "Flow", id, "Service", service, "Home", home, "Denials", s.Denials())
+		for _, m := range append([]*message.Carried{s.Last}, s.Take()...) {
+			c.carry(now, home, &message.Carried{
+				Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre,
+				TimeoutMillis: m.TimeoutMillis, Others: s.Last.Others[i+1:],
+			}, message.Step_StepHome)
+		}
+		return true
+	}
+	return false
 }
 
 // returned searches for the owner of a flow that the sender does not hold.
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -12,6 +12,7 @@
 )
 
 func (c *Core) via(f *ownership.Flow, m *message.Carried) {
+	f.Others = m.Others
 	f.Balancer, f.DataCentre, f.Timeout = flow.IP(m.Balancer), m.DataCentre, time.Duration(m.TimeoutMillis)*time.Millisecond
 }
 
@@ -186,7 +187,7 @@
 	f := c.table.Get(p.Flow)
 	m := &message.Carried{Packet: p.Bytes, Service: c.Service, DataCentre: c.DataCentre}
 	if f != nil {
-		m.Balancer, m.DataCentre, m.Excluded = uint32(f.Balancer), f.DataCentre, f.Excluded
+		m.Balancer, m.DataCentre, m.Excluded, m.Others = uint32(f.Balancer), f.DataCentre, f.Excluded, f.Others
 	}
 	switch {
 	case p.Opens():
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -105,7 +105,7 @@
 			return
 		}
 		p.Balancer.Stored(w.now, recs)
-		p.Balancer.Configure(w.now, &routes.Configuration{Version: w.version, Routes: w.Routes}, "Read")
+		p.Balancer.Configure(w.now, &routes.Configuration{Version: w.version, Routes: slices.Clone(w.Routes)}, "Read")
 	})
 	w.after(listEvery, func() { w.join(p, start) })
 }
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -21,6 +21,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
@@ -119,6 +120,7 @@
 	entries   map[flow.IP]*entry
 	callers   map[flow.Endpoint]*try
 	version   routes.Version
+	named     map[flow.Endpoint][]string
 	codec     flow.Codec
 }
 
@@ -148,6 +150,7 @@
 	w := &World{
 		Config: cfg, Random: rand.New(rand.NewPCG(cfg.Seed, 1)), codec: Codec(), version: 1, now: 1,
 		Cut:       func(_, _ flow.IP) bool { return false },
+		named:     make(map[flow.Endpoint][]string),
 		processes: make(map[flow.IP]*Process), entries: make(map[flow.IP]*entry), callers: make(map[flow.Endpoint]*try),
 	}
 	for i, s := range cfg.Services {
@@ -156,6 +159,7 @@
 			w.AddAgent(s, n)
 		}
 	}
+	w.name()
 	for n := range cfg.Balancers {
 		p := &Process{IP: flow.IP(0x0a010000 + n + 1), DataCentre: dataCentre(n % cfg.DataCentres)}
 		w.Balancers = append(w.Balancers, p)
@@ -185,6 +189,25 @@
 	return p
 }
 
+// Configure puts the shares of an address in force.
+func (w *World) Configure(address flow.Endpoint, shares ...routes.Share) {
+	w.Routes = slices.Clone(w.Routes)
+	for i := range w.Routes {
+		if w.Routes[i].Address == address {
+			w.Routes[i] = routes.Route{Address: address, Shares: shares}
+		}
+	}
+	w.version++
+	w.name()
+}
+
+// name notes which services each address was ever given.
+func (w *World) name() {
+	for _, r := range w.Routes {
+		w.named[r.Address] = append(w.named[r.Address], r.Services()...)
+	}
+}
+
 // Now returns the virtual time.
 func (w *World) Now() time.Duration { return time.Duration(w.now) }
 
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/routes"
 	"github.com/jaytack/jaytack/internal/relay/serving"
 )
 
@@ -249,6 +250,36 @@
 	qt.Assert(t, got > 0.95, qt.IsTrue, qt.Commentf("%.3f", got))
 }
 
+func TestFlowsStayWhereTheyAreWhenRoutesChange(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after []routes.Share
+	}{
+		{"AnotherService", []routes.Share{{Service: "padron", Weight: 1}}, []routes.Share{{Service: "recuento", Weight: 1}}},
+		{"OtherWeights", []routes.Share{{Service: "padron", Weight: 9}, {Service: "recuento", Weight: 1}}, []routes.Share{{Service: "padron", Weight: 1}, {Service: "recuento", Weight: 9}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cfg := registro(13)
+			n := countEvents(&cfg)
+			w := New(cfg)
+			w.Configure(Address(0), test.before...)
+			w.At(4*time.Second, func() { w.Configure(Address(0), test.after...) })
+			// One balancer leaves, so that flows move to others, which have no hints, and
+			// the agents forget who owns what.
+			w.At(6*time.Second, func() {
+				w.Kill(w.Balancers[0])
+				for _, p := range w.Agents {
+					w.Restart(p, 200*time.Millisecond)
+				}
+			})
+			w.Run(10 * time.Second)
+			qt.Assert(t, w.Broken, qt.HasLen, 0)
+			qt.Assert(t, n["SearchHandedOn"] > 0, qt.IsTrue, qt.Commentf("%v", n))
+		})
+	}
+}
+
 func TestSameSeedSameResults(t *testing.T) {
 	run := func() []Result {
 		w := New(registro(5))
