--- a/internal/role/agent/peerserver.go
+++ b/internal/role/agent/peerserver.go
@@ -57,6 +57,27 @@
 	return start, c, nil
 }
 
+const (
+	// policyWait is how long a call waits for the contract of an agent that has just
+	// started: contracts come from peers within a second.
+	policyWait = time.Second
+	// policyPoll is how often it looks.
+	policyPoll = 5 * time.Millisecond
+)
+
+// awaitPolicy returns what follows from the contract. An agent that has just
+// started and does not have it yet must not answer for submissions that its peers
+// ask about: they would end as Unknown.
+func (a *Agent) awaitPolicy(ctx context.Context) *policy {
+	for end := time.Now().Add(policyWait); time.Now().Before(end) && ctx.Err() == nil; {
+		if p := a.policy.Load(); p != nil {
+			return p
+		}
+		time.Sleep(policyPoll)
+	}
+	return a.policy.Load()
+}
+
 func (s *peerServer) decide(ctx context.Context, start *wire.RunStart, c *call) reply {
 	why := purpose(start.GetPurpose())
 	refuse := func(reason string) reply {
@@ -66,7 +87,7 @@
 		}
 		return r
 	}
-	p := s.a.policy.Load()
+	p := s.a.awaitPolicy(ctx)
 	if p == nil || contract.ServiceNumber(start.GetService()) != p.service.Number {
 		s.a.metrics.Add("HandoversCrossed", 1)
 		return refuse("WrongService")
