Pass over agents that have no upstream in searches

Ruled out: shorter leases (they move the wait, and a restart of all processes needs them), counting silence as a denial (a cut is silent too).

Change: an agent takes over the state Gone from its predecessor's entry until a heartbeat or packet of an upstream comes; an agent that has listened for three intervals of heartbeats since its start without a sign says Gone too, where time that the process did not run does not count. Searches are concluded again when a member is gone. A search that a denial ends at once no longer concludes twice.

The stand-in's leases now last 9 s, as the program's do.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -67,6 +67,7 @@
 		Process: p, outbound: outbound, done: make(chan struct{}),
 		core: serving.New(serving.Config{
 			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
+			Started: p.Now(), HeartbeatEvery: s.HeartbeatEvery,
 		}),
 	}
 	// Messages may come before all parts are there.
--- a/internal/relay/directory/directory.go
+++ b/internal/relay/directory/directory.go
@@ -22,6 +22,8 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
@@ -157,6 +159,15 @@
 	return s
 }
 
+// Searches calls f for every search, ordered by flow; f may end it.
+func (d *Directory) Searches(f func(id flow.ID, s *Search)) {
+	for _, id := range slices.SortedFunc(maps.Keys(d.searches), flow.ID.Compare) {
+		if s := d.searches[id]; s != nil {
+			f(id, s)
+		}
+	}
+}
+
 // End forgets a search.
 func (d *Directory) End(id flow.ID) { delete(d.searches, id) }
 
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -115,9 +115,11 @@
 	}, message.Step_StepProbe)
 }
 
-// conclude resets a flow once every member of the service has denied it.
+// conclude resets a flow once every member of the service has denied it, unless
+// a denial that came at once has ended the search already.
 func (c *Core) conclude(now instant.Instant, id flow.ID, s *directory.Search) {
-	if !c.Roster.Settled(now) || !s.Denied(c.Self) || s.Missing() {
+	own := s.Denied(c.Self) || c.state == message.State_StateGone
+	if c.directory.Searching(id) != s || !c.Roster.Settled(now) || !own || s.Missing() {
 		return
 	}
 	for _, r := range c.Roster.Group(c.Service) {
@@ -132,6 +134,11 @@
 	c.reset(id, s.LastAck, "AllUpstreamsDenied", "Denials", s.Denials(), "Took", now.Sub(s.Started))
 }
 
+// concludeAll ends the searches that waited only for agents that are gone by now.
+func (c *Core) concludeAll(now instant.Instant) {
+	c.directory.Searches(func(id flow.ID, s *directory.Search) { c.conclude(now, id, s) })
+}
+
 // handOn has the next service searched that may hold a flow, and reports whether
 // there is one.
 func (c *Core) handOn(now instant.Instant, id flow.ID, s *directory.Search) bool {
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -13,11 +13,13 @@
 func (c *Core) FoundOwn(now instant.Instant, r *message.Record) {
 	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
 	c.Roster.FoundOwn(now)
-	if !c.up.known && r.State == message.State_StateDraining {
-		// The upstream said so to the earlier process; its next heartbeat decides.
-		c.up.Draining = true
-		c.announce(now)
+	if c.up.heard != 0 || r.Service != c.Service {
+		return
 	}
+	// The upstream said so to the earlier process; its next heartbeat decides.
+	c.up.Draining = r.State == message.State_StateDraining
+	c.up.absent = r.State == message.State_StateGone
+	c.announce(now)
 }
 
 // Stored takes in all entries of the store.
@@ -47,6 +49,7 @@
 	c.changes = c.Roster.Changes
 	c.rehoming = true
 	c.tellNewMembers(now)
+	c.concludeAll(now)
 }
 
 // tellNewMembers reports at once, so that new members need not wait.
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -19,6 +19,7 @@
 
 // Tick does what is due.
 func (c *Core) Tick(now instant.Instant) {
+	c.watch(now)
 	c.announce(now)
 	if c.up.endAt != 0 && now >= c.up.endAt {
 		c.up.endAt = 0
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -75,6 +75,12 @@
 	maxPlacements = 4
 	// claimsPerTick bounds the claims after a change of homes.
 	claimsPerTick = 200
+	// absentAfter is the time, in intervals of heartbeats, for which an agent that has
+	// just started waits for a sign of its upstream before it takes it for absent.
+	absentAfter = 3
+	// maxWatched bounds the time between two ticks that counts as time in which the
+	// process listened: one that was frozen has heartbeats still to read.
+	maxWatched = 2 * TickEvery
 )
 
 // Config is what an agent knows from its settings.
@@ -86,6 +92,8 @@
 	Codec       flow.Codec
 	// Started is when the process started.
 	Started instant.Instant
+	// HeartbeatEvery is the interval of the upstream's heartbeats, 0 if unknown.
+	HeartbeatEvery time.Duration
 }
 
 // Heartbeat is what an upstream says about itself.
@@ -124,6 +132,11 @@
 	owesOpening, owesData   bool
 	coldUntil               instant.Instant
 	gone                    bool
+	// absent is set while no sign of an upstream has come since the process started,
+	// and either the earlier process saw it leave or heartbeats are overdue: there is
+	// none that holds flows. watched is for how long the process has listened.
+	absent  bool
+	watched time.Duration
 	// refuses is set while first packets bounce: the upstream is down, or full.
 	refuses bool
 	// endAt is when the flows of an upstream that has left are ended, 0 for never.
@@ -149,7 +162,7 @@
 	stopping  bool
 	missed    []missed
 
-	groupAt, balancersAt, expireAt instant.Instant
+	groupAt, balancersAt, expireAt, tickedAt instant.Instant
 	// reports counts those to the group; an urgent one goes to all.
 	reports  int
 	urgent   bool
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -82,9 +82,10 @@
 
 // alive notes that the upstream was heard, and delivers again what it may have missed.
 func (c *Core) alive(now instant.Instant) {
-	c.up.heard, c.up.refuses = now, false
+	wasAbsent := c.up.absent
+	c.up.heard, c.up.refuses, c.up.absent = now, false, false
 	c.up.owesOpening, c.up.owesData = false, false
-	if c.state != message.State_StateUnknown && c.state != message.State_StateSilent {
+	if c.state != message.State_StateUnknown && c.state != message.State_StateSilent && !wasAbsent {
 		return
 	}
 	c.announce(now)
@@ -97,10 +98,24 @@
 	}
 }
 
+// watch takes the upstream for absent if it has given no sign since the process
+// started for so long that heartbeats are overdue. Searches need not wait for an
+// agent beside which nothing holds flows.
+func (c *Core) watch(now instant.Instant) {
+	c.up.watched += min(now.Sub(c.tickedAt), maxWatched)
+	c.tickedAt = now
+	if c.up.heard != 0 || c.up.absent || c.HeartbeatEvery == 0 || c.up.watched < absentAfter*c.HeartbeatEvery {
+		return
+	}
+	c.up.absent = true
+	c.Believe("UpstreamAbsent", "Watched", c.up.watched, "HeartbeatEvery", c.HeartbeatEvery)
+	c.announce(now)
+}
+
 // stateNow returns the state to announce.
 func (c *Core) stateNow(now instant.Instant) message.State {
 	switch {
-	case c.up.gone:
+	case c.up.gone, c.up.absent:
 		return message.State_StateGone
 	case c.stopping:
 		return message.State_StateRestarting
@@ -131,4 +146,7 @@
 	c.state = s
 	c.groupAt, c.balancersAt, c.urgent = now, now, true
 	c.rehoming = true
+	if s == message.State_StateGone {
+		c.concludeAll(now)
+	}
 }
--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -12,6 +12,7 @@
 import (
 	"net/netip"
 	"strings"
+	"time"
 )
 
 // Settings is what a balancer or agent is told.
@@ -36,6 +37,8 @@
 	PeerPort, LastPeerPort uint16
 	// Store is the platform's store.
 	Store netip.AddrPort
+	// HeartbeatEvery is the interval of the upstream's heartbeats, 0 if unknown.
+	HeartbeatEvery time.Duration
 }
 
 // CheckAgent notes what an agent misses.
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -21,7 +21,7 @@
 		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.starts, Codec: w.codec})
 	} else {
 		tick = serving.TickEvery
-		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.starts, Codec: w.codec, Started: w.now})
+		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.starts, Codec: w.codec, Started: w.now, HeartbeatEvery: heartbeatEvery})
 	}
 	w.tick(p, p.starts, tick)
 	w.after(storeDelay, func() { w.join(p, p.starts) })
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -41,7 +41,7 @@
 	// listEvery is how often processes read the list of members.
 	listEvery = 1500 * time.Millisecond
 	// listTTL is how long an entry outlives its process.
-	listTTL = 6 * time.Second
+	listTTL = 9 * time.Second
 	// storeDelay is the time of a call of the store.
 	storeDelay = 4 * time.Millisecond
 	// maxBroken bounds the list of what must never happen.
