Start no search from the bounce of a flow that the agent does not know

Cause: a packet that was delivered twice (kept while the upstream was silent) is bounced twice. The first bounce ends what the agent knows of the flow; the second was given back to the home without the other services that may hold it, so that the home reset an open flow once its own service had denied it. Found by TestFlowsStayWhereTheyAreWhenRoutesChange/AnotherService when placement changed its random course: 10 open flows reset, each 7 ms after a search that began with the second bounce.

Ruled out: a wrong denial (the owner was never asked), a lost hint.

Change: such a bounce is logged and ends there; the caller sends again, and its packet carries what a search needs.

--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -206,10 +206,12 @@
 		asker := f.Asker
 		c.table.Drop(f)
 		c.deny(now, asker, p.Flow)
+	case f == nil:
+		// A second packet of a flow that was dealt with: without knowing which other
+		// services may hold it, a search could end in a false reset.
+		c.Explain("BounceIgnored", "Flow", p.Flow, "Reason", "UnknownFlow")
 	default:
-		if f != nil {
-			c.table.Drop(f)
-		}
+		c.table.Drop(f)
 		c.giveBack(now, p, m)
 	}
 }
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -64,3 +64,21 @@
 		})
 	}
 }
+
+// TestBounceOfUnknownFlowStartsNoSearch has an upstream bounce a packet that was
+// delivered twice: the first bounce was answered, and the second says nothing about
+// the other services that may hold the flow.
+func TestBounceOfUnknownFlowStartsNoSearch(t *testing.T) {
+	p := flow.Packet{Flow: id, Flags: flow.Ack | flow.Bounced, Len: 1}
+	codec := first(0)
+	codec.FromUpstream = func([]byte) (flow.Packet, bool) { return p, true }
+	c := serving.New(serving.Config{Self: 7, Service: "recuento", DataCentre: "a", Codec: codec})
+	now := instant.Instant(time.Second)
+	c.FoundOwn(now, &message.Record{Instance: 7, Service: "recuento", State: message.State_StateReady})
+	c.Stored(now, nil)
+	c.Take()
+	c.Upstream(now, []byte{1})
+	qt.Assert(t, resets(c), qt.Equals, 0)
+	_, _, _, searches := c.Sizes()
+	qt.Assert(t, searches, qt.Equals, 0)
+}
