Compare a new flow at a few upstreams drawn by its hash

Cause: on the grown deployments every home compared all 42 or 51 upstreams of the group by reports that are 50 to 150 ms old.

Ruled out: too little capacity (half of the agents were free in the same second); the choice of the far data centre alone (the same with near upstreams only).

--- a/internal/relay/flow/flow.go
+++ b/internal/relay/flow/flow.go
@@ -87,6 +87,17 @@
 	return xxhash.Sum64(b[:])
 }
 
+// Draw mixes a flow's hash with an instance, for a choice of instances by highest
+// random weight that all processes agree on.
+func Draw(hash uint64, ip IP) uint64 {
+	x := hash ^ uint64(ip)*0x9e3779b97f4a7c15
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
 // Flags say what a packet does to its flow.
 type Flags uint8
 
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -11,13 +11,16 @@
 //
 //	b := load.New()
 //	b.Update(peer, load.Signal{Slots: 4, Busy: 2, Idle: 30})
-//	at, ok := b.Choose(candidates)
+//	at, ok := b.Choose(load.Sample(id.Hash(), candidates))
 //	b.Place(at)
 //
 // The package does no input or output. A Board must not be shared without a lock.
 package load
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/jaytack/jaytack/internal/relay/flow"
 )
 
@@ -39,6 +42,13 @@
 	usualSlots = 4
 )
 
+// Sizes of a sample: with two of its own data centre a flow finds a free upstream
+// as surely as with more, and one elsewhere relieves a data centre that is full.
+const (
+	nearSample = 2
+	farSample  = 1
+)
+
 // Signal is what an agent says about its upstream's load.
 type Signal struct {
 	// Slots is the number of requests that run at a time, 0 if unknown.
@@ -66,6 +76,37 @@
 	Doubtful, Unlikely bool
 }
 
+// Sample returns the few candidates that a flow is compared at: those with the highest
+// random weight among the near and among the far ones, or more of one where the other
+// are too few. Unlikely candidates are left out while there are others.
+func Sample(hash uint64, candidates []Candidate) []Candidate {
+	likely := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Unlikely })
+	if len(likely) == 0 {
+		likely = candidates
+	}
+	if len(likely) <= nearSample+farSample {
+		return likely
+	}
+	slices.SortFunc(likely, func(a, b Candidate) int {
+		return cmp.Compare(flow.Draw(hash, b.Agent), flow.Draw(hash, a.Agent))
+	})
+	var sample, rest []Candidate
+	near, far := nearSample, farSample
+	for _, c := range likely {
+		left := &near
+		if c.Far {
+			left = &far
+		}
+		if *left == 0 {
+			rest = append(rest, c)
+			continue
+		}
+		*left--
+		sample = append(sample, c)
+	}
+	return append(sample, rest[:near+far]...)
+}
+
 // Board is what one agent knows about its group's load.
 type Board struct {
 	entries map[flow.IP]*entry
--- a/internal/relay/roster/roster.go
+++ b/internal/relay/roster/roster.go
@@ -246,7 +246,7 @@
 	bestRank, bestDraw := -1, uint64(0)
 	for _, m := range r.groups[service] {
 		rank := r.rank(now, m, dataCentre)
-		if d := draw(hash, m.ID()); rank > bestRank || rank == bestRank && d > bestDraw {
+		if d := flow.Draw(hash, m.ID()); rank > bestRank || rank == bestRank && d > bestDraw {
 			best, bestRank, bestDraw = m.ID(), rank, d
 		}
 	}
@@ -267,13 +267,3 @@
 	}
 	return rank
 }
-
-// draw mixes a flow's hash with an instance.
-func draw(hash uint64, id flow.IP) uint64 {
-	x := hash ^ uint64(id)*0x9e3779b97f4a7c15
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
