--- a/internal/relay/ownership/ownership.go
+++ b/internal/relay/ownership/ownership.go
@@ -35,9 +35,9 @@
 	Unsure Phase = iota
 	// Offered: the first packet was delivered.
 	Offered
-	// Accepted: the upstream accepted the flow, the caller has not confirmed it.
+	// Accepted: the upstream accepted the flow, which may still open elsewhere.
 	Accepted
-	// Open: the upstream holds the flow.
+	// Open: the upstream has sent a packet on the open flow, so that it holds it.
 	Open
 )
 
@@ -68,9 +68,10 @@
 	usualTimeout = 5 * time.Second
 	// workShare is the share of a new observation in the usual time of a request.
 	workShare = 0.05
-	// sequenceWindow is how far the acknowledged position of an open flow may be
-	// from the one that the upstream began with.
-	sequenceWindow = 1 << 26
+	// sequenceWindow is how far the acknowledged position of a flow that the upstream
+	// has just opened may be from the one that it began with: the bytes that it may
+	// send unacknowledged, 16 packets of 1,200.
+	sequenceWindow = 16 * 1200
 )
 
 // Flow is one flow.
@@ -273,10 +274,7 @@
 func (t *Table) FromCaller(now instant.Instant, p flow.Packet) *Flow {
 	f := t.get(now, p.Flow, Unsure)
 	f.LastAck = p.AckSeq
-	if f.Phase == Accepted {
-		t.advance(f, Open)
-	}
-	if f.isNew(p) && !f.busy && t.flows[f.ID] == f && f.Phase == Open {
+	if f.isNew(p) && !f.busy && t.flows[f.ID] == f && f.Phase >= Accepted {
 		f.Requests++
 		f.asked, f.unqueued = now, t.busy < t.slots
 		if f.opening {
--- a/internal/relay/ownership/ownership_test.go
+++ b/internal/relay/ownership/ownership_test.go
@@ -82,3 +82,37 @@
 	}
 	qt.Assert(t, x.Work() > 49*time.Millisecond && x.Work() <= 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v", x.Work()))
 }
+
+// TestFlowThatOpenedElsewhereIsForeign has an upstream accept a late copy of a first
+// packet: the caller's packets acknowledge what another upstream sent, from a position
+// that may be near by chance.
+func TestFlowThatOpenedElsewhereIsForeign(t *testing.T) {
+	tests := []struct {
+		name string
+		ack  uint32
+		want bool
+	}{
+		{"Handshake", 1001, false},
+		{"AnswerReceived", 1001 + 12_000, false},
+		{"Before", 999, true},
+		{"NearByChance", 1000 + 1<<20, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := New()
+			x.Offer(1, syn)
+			f, _ := x.FromUpstream(2, synAck)
+			p := ask
+			p.AckSeq = test.ack
+			qt.Assert(t, f.Foreign(p), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestFlowIsOpenOnceTheUpstreamHasShownIt(t *testing.T) {
+	x := opened()
+	x.FromCaller(4, ask)
+	qt.Assert(t, x.Get(id).Phase, qt.Equals, Accepted)
+	x.FromUpstream(5, answer)
+	qt.Assert(t, x.Get(id).Phase, qt.Equals, Open)
+}
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -1,6 +1,7 @@
 package serving_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,3 +83,45 @@
 	_, _, _, searches := c.Sizes()
 	qt.Assert(t, searches, qt.Equals, 0)
 }
+
+// TestBounceIsProofOnlyOfAFlowThatTheUpstreamHeld has an upstream accept a late copy of
+// a first packet, whose caller has opened the flow at another upstream, and bounce the
+// caller's next packet.
+func TestBounceIsProofOnlyOfAFlowThatTheUpstreamHeld(t *testing.T) {
+	for _, held := range []bool{false, true} {
+		t.Run(fmt.Sprintf("Held=%t", held), func(t *testing.T) {
+			var fromCaller, fromUpstream flow.Packet
+			codec := first(0)
+			codec.FromCaller = func([]byte) (flow.Packet, bool) { return fromCaller, true }
+			codec.FromUpstream = func([]byte) (flow.Packet, bool) { return fromUpstream, true }
+			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: codec})
+			now := instant.Instant(time.Second)
+			c.Heartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Slots: 4})
+			carried := func(step message.Step, p flow.Packet) {
+				fromCaller = p
+				c.Message(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
+					Packet: []byte{1}, Step: step, Service: "padron", DataCentre: "a", Balancer: 5,
+				}}})
+			}
+			upstream := func(p flow.Packet) {
+				fromUpstream = p
+				c.Upstream(now, []byte{1})
+			}
+			ask := flow.Packet{Flow: id, Flags: flow.Ack, Seq: 1, AckSeq: 1001, Len: 100}
+			carried(message.Step_StepPlace, flow.Packet{Flow: id, Flags: flow.Syn})
+			upstream(flow.Packet{Flow: id, Flags: flow.Syn | flow.Ack, Seq: 1000})
+			carried(message.Step_StepOwner, ask)
+			if held {
+				upstream(flow.Packet{Flow: id, Flags: flow.Ack, Seq: 1001, AckSeq: 101})
+			}
+			c.Take()
+			ask.Flags |= flow.Bounced
+			upstream(ask)
+			want := 0
+			if held {
+				want = 1
+			}
+			qt.Assert(t, resets(c), qt.Equals, want)
+		})
+	}
+}
