Try to hold requests on open flows, and give it up

Tried: such requests wait at the agent like new flows, those that can be in time first.

Kept from it: the stand-in's callers advance their position with each request on a flow, as real ones do (before, agents counted only the first request of a kept flow), its routes have an aim and a deadline, and a flow whose caller gives up while it waits is logged (FlowGivenUp).

--- a/internal/relay/serving/offer.go
+++ b/internal/relay/serving/offer.go
@@ -67,6 +67,9 @@
 
 // letPass offers flows that wait as far as the upstream has room.
 func (c *Core) letPass(now instant.Instant) {
+	for _, e := range c.room.Expire(now) {
+		c.Explain("FlowGivenUp", "Flow", e.Flow, "Waited", now.Sub(e.Came), "Waiting", c.room.Len())
+	}
 	for {
 		e, ok := c.room.Next(now, c.fullness(now))
 		if !ok {
--- a/internal/relay/waiting/waiting.go
+++ b/internal/relay/waiting/waiting.go
@@ -17,6 +17,9 @@
 //	if !r.Add(now, e, s) {
 //		refuse(e)
 //	}
+//	for _, e := range r.Expire(now) {
+//		log(e)
+//	}
 //	for e, ok := r.Next(now, s); ok; e, ok = r.Next(now, s) {
 //		deliver(e)
 //		s.InSystem++
@@ -69,7 +72,6 @@
 type Entry struct {
 	Flow    flow.ID
 	Carried *message.Carried
-	From    flow.IP
 	// Asked is when the caller first asked, Until is when it gives up, Came is when
 	// the packet came here.
 	Asked, Until, Came instant.Instant
@@ -128,9 +130,19 @@
 	return true
 }
 
+// Expire takes out the flows whose callers have given up.
+func (r *Room) Expire(now instant.Instant) (gone []*Entry) {
+	r.entries = slices.DeleteFunc(r.entries, func(x *Entry) bool {
+		if x.Until < now {
+			gone = append(gone, x)
+		}
+		return x.Until < now
+	})
+	return gone
+}
+
 // Next takes the flow out whose turn it is; ok is false where none may pass.
 func (r *Room) Next(now instant.Instant, s State) (e *Entry, ok bool) {
-	r.entries = slices.DeleteFunc(r.entries, func(x *Entry) bool { return x.Until < now })
 	best := -1
 	for i, x := range r.entries {
 		if best < 0 || r.before(now, s, x, r.entries[best]) {
--- a/internal/relay/waiting/waiting_test.go
+++ b/internal/relay/waiting/waiting_test.go
@@ -81,6 +81,8 @@
 func TestWaitingEndsWithTheCaller(t *testing.T) {
 	r := New()
 	r.Add(0, entry(1, 0, 1), state(50))
+	qt.Assert(t, r.Expire(1400*ms), qt.HasLen, 0)
+	qt.Assert(t, r.Expire(1500*ms), qt.HasLen, 1)
 	_, ok := r.Next(1500*ms, state(0))
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, r.Len(), qt.Equals, 0)
--- a/internal/standin/relay/caller.go
+++ b/internal/standin/relay/caller.go
@@ -17,6 +17,9 @@
 	callersStart  = time.Second
 )
 
+// requestLen is the length of a request.
+const requestLen = 100
+
 var copiesAt = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
 
 // Kind is one kind of request and those that make them.
@@ -70,9 +73,10 @@
 
 // try is one flow of a user.
 type try struct {
-	u                   *user
-	id                  flow.ID
-	opened, dead        bool
+	u            *user
+	id           flow.ID
+	opened, dead bool
+	// seq is the position of the next request.
 	seq, ack, request   uint32
 	started, askedSince instant.Instant
 	retriesLeft         int
@@ -186,7 +190,7 @@
 	if t.dead || !t.waiting || t.request != request {
 		return
 	}
-	t.post(head{Flags: flow.Ack, Seq: t.seq + 1, Ack: t.ack, Request: request}, 100)
+	t.post(head{Flags: flow.Ack, Seq: t.seq + 1, Ack: t.ack, Request: request}, requestLen)
 	t.u.w.after(again, func() { t.transmit(request, min(2*again, retransmitMax)) })
 }
 
@@ -213,6 +217,7 @@
 // done notes a result and ends the flow unless it is kept.
 func (t *try) done(outcome string, took time.Duration) {
 	t.waiting = false
+	t.seq += requestLen
 	u := t.u
 	u.busy = false
 	u.w.Results = append(u.w.Results, Result{u.kind, time.Duration(t.first), took, outcome})
@@ -223,7 +228,7 @@
 
 func (t *try) end() {
 	if t.opened && !t.dead {
-		t.post(head{Flags: flow.Fin | flow.Ack, Seq: t.seq + 2, Ack: t.ack}, 0)
+		t.post(head{Flags: flow.Fin | flow.Ack, Seq: t.seq + 1, Ack: t.ack}, 0)
 	}
 	t.dead = true
 	t.u.open = nil
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -154,7 +154,7 @@
 		processes: make(map[flow.IP]*Process), entries: make(map[flow.IP]*entry), callers: make(map[flow.Endpoint]*try),
 	}
 	for i, s := range cfg.Services {
-		w.Routes = append(w.Routes, routes.Route{Address: Address(i), Shares: []routes.Share{{Service: s.Name, Weight: 1}}})
+		w.Routes = append(w.Routes, cfg.route(i, s))
 		for n := range s.Upstreams {
 			w.AddAgent(s, n)
 		}
@@ -173,6 +173,18 @@
 	return w
 }
 
+// route returns the route of a service, with the aim and the deadline of its most
+// pressing kind of request.
+func (cfg *Config) route(i int, s Service) routes.Route {
+	r := routes.Route{Address: Address(i), Shares: []routes.Share{{Service: s.Name, Weight: 1}}}
+	for _, k := range cfg.Callers {
+		if k.Service == i && (r.Aim == 0 || k.Aim < r.Aim) {
+			r.Aim, r.Timeout = k.Aim, k.Deadline
+		}
+	}
+	return r
+}
+
 func dataCentre(n int) string { return fmt.Sprintf("dc-%d", n) }
 
 // Address returns the address of the i-th service.
