Refuse the flow whose turn comes last, and fetch configurations from peers

Cause: a room in front of a full upstream refused the latest comer, although the latest comers that can be in time go first. Change: the flow that is last in order is refused.

Cause: each balancer that does not watch read the key in the store for each version that another had; a storm of versions costs the store a call for each balancer and version (26 balancers, some 25 versions in 7 s).

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -1,9 +1,10 @@
 // Package follower follows the operators' configuration in the platform's store.
 //
-// A watch tells of changes at once. It may go silent, and the history that it needs
-// may be dropped, so the key itself is read again after each failure, when another
-// balancer has a newer version, and from time to time. While the store cannot be
-// reached, newer versions are fetched from the balancers that have them.
+// A few balancers watch the store, which tells them of changes at once; the others
+// fetch newer versions from the balancers that have them, which costs the store
+// nothing however quickly versions follow each other. A watch may go silent, and the
+// history that it needs may be dropped, so the key itself is read again after each
+// failure, where a peer does not answer, and from time to time.
 //
 // # Usage
 //
@@ -49,8 +50,7 @@
 	// Watches reports whether this process is among those that watch; the others
 	// hear of changes from them.
 	Watches func() bool
-	// Fetch returns the value that another balancer has in force, for when the store
-	// cannot be reached.
+	// Fetch returns the value that another balancer has in force.
 	Fetch func(ctx context.Context, from netip.Addr) ([]byte, error)
 }
 
@@ -71,6 +71,8 @@
 	retry    time.Duration
 	revision store.Revision
 	seen     store.Revision
+	// readAt is when the key is to be read again.
+	readAt time.Time
 }
 
 // New returns a follower that runs until Close.
@@ -92,7 +94,7 @@
 	return nil
 }
 
-// Refresh has the key read soon, since another balancer has a newer version.
+// Refresh has a newer version fetched soon from the balancer that has it.
 func (f *Follower) Refresh(from netip.Addr) {
 	f.news.Store(&from)
 	select {
@@ -109,31 +111,37 @@
 
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.fetchNews(ctx)
-		err := f.read(ctx)
+		if !f.fetchNews(ctx) {
+			f.readAt = time.Time{}
+		}
+		var err error
+		if !time.Now().Before(f.readAt) {
+			err = f.read(ctx)
+		}
 		if err == nil {
 			err = f.watch(ctx)
 		}
 		f.noteHealth(err)
 		if err != nil {
+			f.readAt = time.Time{}
 			f.pause(ctx)
 		}
 	}
 }
 
-// fetchNews takes a newer version from the balancer that has it, while the store
-// cannot be reached.
-func (f *Follower) fetchNews(ctx context.Context) {
+// fetchNews takes a newer version from the balancer that has it; ok is false where
+// it does not give it.
+func (f *Follower) fetchNews(ctx context.Context) (ok bool) {
 	from := f.news.Swap(nil)
-	if from == nil || !f.failing {
-		return
+	if from == nil {
+		return true
 	}
 	value, err := f.Fetch(ctx, *from)
 	if err != nil {
 		f.Warn("ConfigurationUnfetched", "From", *from, "Reason", err)
-		return
+		return false
 	}
-	f.apply(value, "Peer")
+	return f.apply(value, "Peer")
 }
 
 func (f *Follower) pause(ctx context.Context) {
@@ -175,6 +183,7 @@
 	if err != nil {
 		return err
 	}
+	f.readAt = time.Now().Add(checkEvery)
 	f.revision = max(f.revision, rev)
 	for _, kv := range kvs {
 		f.revision = max(f.revision, kv.Revision)
@@ -227,13 +236,17 @@
 			cancel()
 		}
 	}()
-	for until := time.Now().Add(checkEvery); time.Now().Before(until) && ctx.Err() == nil; {
+	for time.Now().Before(f.readAt) && ctx.Err() == nil {
 		if !f.Watches() {
 			f.idle(ctx)
 			continue
 		}
 		rev, err := f.store.Watch(ctx, f.Key, f.revision, func(kv store.KV) { f.take(kv, "Watch") })
-		if ctx.Err() != nil || eris.Is(err, store.ErrCompacted) {
+		if ctx.Err() != nil {
+			return nil
+		}
+		if eris.Is(err, store.ErrCompacted) {
+			f.readAt = time.Time{}
 			return nil
 		}
 		if err != nil {
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http/httptest"
 	"net/netip"
@@ -28,6 +29,9 @@
 	Store  *storage.Store
 	client *store.Client
 	rev    store.Revision
+	// peer is the version that another balancer has in force, which does not answer
+	// while it is empty.
+	peer string
 
 	mu      sync.Mutex
 	book    routes.Book
@@ -66,7 +70,12 @@
 			}
 		},
 		Watches: func() bool { return watches },
-		Fetch:   func(context.Context, netip.Addr) ([]byte, error) { return []byte("12"), nil },
+		Fetch: func(context.Context, netip.Addr) ([]byte, error) {
+			if f.peer == "" {
+				return nil, errors.New("no answer")
+			}
+			return []byte(f.peer), nil
+		},
 	}, f.client, journal.New(io.Discard, journal.Info, 1))
 	f.t.Cleanup(x.Close)
 	return x
@@ -121,6 +130,23 @@
 	f.reaches(4, 2*time.Second)
 }
 
+// TestStormOfChangesCostsOtherBalancersNoReads replays versions that follow each other
+// quickly: a balancer that does not watch gets each from a peer.
+func TestStormOfChangesCostsOtherBalancersNoReads(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.put("3")
+	x := f.follow(false)
+	f.reaches(3, time.Second)
+	reads := f.client.Calls.Reads.Load()
+	for v := 4; v < 30; v++ {
+		f.peer = strconv.Itoa(v)
+		x.Refresh(peer)
+		f.reaches(routes.Version(v), time.Second)
+	}
+	qt.Assert(t, f.client.Calls.Reads.Load(), qt.Equals, reads)
+}
+
 func TestNewsOfPeersIsReadAtOnce(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
@@ -140,6 +166,7 @@
 	f.put("3")
 	x := f.follow(true)
 	f.reaches(3, time.Second)
+	f.peer = "12"
 	f.Store.SetFaults(storage.Faults{Down: true})
 	time.Sleep(300 * time.Millisecond)
 	x.Refresh(peer)
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -286,12 +286,24 @@
 	if !c.Roster.Report(now, r) {
 		return
 	}
-	if r.Service == "" && routes.Version(r.Version) > c.Routes.Version() {
+	if r.Service == "" && routes.Version(r.Version) > c.Routes.Version() && (r.DataCentre == c.DataCentre || c.firstNear(now)) {
 		c.Do(verdict.Action{Kind: verdict.Refresh, To: from})
 	}
 	c.rosterChanged(now)
 }
 
+// firstNear reports whether the balancer is the one of its data centre that fetches
+// configurations from elsewhere: the lowest instance there that reports. The others
+// get them from it, since bytes between data centres cost more.
+func (c *Core) firstNear(now instant.Instant) bool {
+	for _, m := range c.Roster.Balancers() {
+		if m.DataCentre == c.DataCentre && m.ID() < c.Self && !m.Suspect(now) && m.State == message.State_StateReady {
+			return false
+		}
+	}
+	return true
+}
+
 // rosterChanged tells new members of the balancer and forwards what waited.
 func (c *Core) rosterChanged(now instant.Instant) {
 	if c.changes == c.Roster.Changes {
--- a/internal/relay/serving/offer.go
+++ b/internal/relay/serving/offer.go
@@ -35,18 +35,33 @@
 		Aim: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
 	}
 	s := c.fullness(now)
-	switch {
-	case c.room.Len() == 0 && waiting.Passes(now, e, s):
+	if c.room.Len() == 0 && waiting.Passes(now, e, s) {
 		c.offerNow(now, p, m)
-	case c.room.Add(now, e, s):
+		return
+	}
+	refused := c.room.Add(now, e, s)
+	if refused != e {
 		c.Counts.Waited++
 		c.Explain("FlowWaits", "Flow", p.Flow, "InSystem", s.InSystem, "Work", s.Work, "Waiting", c.room.Len(), "Copy", p.AckSeq)
-		c.letPass(now)
-	case len(m.Excluded) < maxPlacements && len(c.Roster.Group(c.Service)) > 1:
-		c.passOn(now, p, m)
-	default:
-		c.refuse(now, p, m, "UpstreamFull")
 	}
+	if refused != nil {
+		c.turnAway(now, refused)
+	}
+	c.letPass(now)
+}
+
+// turnAway passes a flow on that would not have its turn here, or refuses it.
+func (c *Core) turnAway(now instant.Instant, e *waiting.Entry) {
+	p, ok := c.Codec.FromCaller(e.Carried.Packet)
+	if !ok {
+		return
+	}
+	e.Carried.WaitedMillis += uint32(now.Sub(e.Came) / time.Millisecond)
+	if e.Came == now && len(e.Carried.Excluded) < maxPlacements && len(c.Roster.Group(c.Service)) > 1 {
+		c.passOn(now, p, e.Carried)
+		return
+	}
+	c.refuse(now, p, e.Carried, "UpstreamFull")
 }
 
 // fullness returns how full the upstream is.
--- a/internal/relay/waiting/waiting.go
+++ b/internal/relay/waiting/waiting.go
@@ -8,14 +8,16 @@
 // Of those that wait, the ones that can be in time go first, the most urgent route
 // before others and the latest comer before earlier ones; those that are late
 // anyway fill slots that would stay empty, the latest first too, since the callers
-// of older ones may have given up. A flow that cannot have its turn before
-// its caller gives up is refused at once.
+// of older ones may have given up. Where more wait than can have their turn before
+// callers give up, the one whose turn comes last is refused at once, which is seldom
+// the latest comer: callers that are refused again and again have used up their tries
+// before the backlog is gone.
 //
 // # Usage
 //
 //	r := waiting.New()
-//	if !r.Add(now, e, s) {
-//		refuse(e)
+//	if refused := r.Add(now, e, s); refused != nil {
+//		refuse(refused)
 //	}
 //	for _, e := range r.Expire(now) {
 //		log(e)
@@ -113,21 +115,29 @@
 	return s.InSystem < lateRounds*s.Slots || e.inTime(now, s)
 }
 
-// Add has a flow wait, or takes in a copy of one that waits. It returns false for
-// a flow that would not have its turn in time.
-func (r *Room) Add(now instant.Instant, e *Entry, s State) bool {
+// Add has a flow wait, or takes in a copy of one that waits. It returns the flow that
+// is refused for it, which may be the flow itself, nil where all have their turn.
+func (r *Room) Add(now instant.Instant, e *Entry, s State) (refused *Entry) {
 	for _, x := range r.entries {
 		if x.Flow == e.Flow {
 			x.Carried, x.Until, x.Came = e.Carried, e.Until, e.Came
-			return true
+			return nil
 		}
 	}
-	turn := time.Duration(float64(len(r.entries)+1) / float64(max(s.Slots, 1)) * float64(s.Work))
-	if len(r.entries) >= MaxFlows || now.Add(turn) > e.Until {
-		return false
-	}
 	r.entries = append(r.entries, e)
-	return true
+	turn := time.Duration(float64(len(r.entries)) / float64(max(s.Slots, 1)) * float64(s.Work))
+	if len(r.entries) <= MaxFlows && turn <= flow.OpensFor {
+		return nil
+	}
+	last := 0
+	for i, x := range r.entries {
+		if !r.before(now, s, x, r.entries[last]) {
+			last = i
+		}
+	}
+	refused = r.entries[last]
+	r.entries = slices.Delete(r.entries, last, last+1)
+	return refused
 }
 
 // Expire takes out the flows whose callers have given up.
--- a/internal/relay/waiting/waiting_test.go
+++ b/internal/relay/waiting/waiting_test.go
@@ -53,7 +53,7 @@
 	for _, e := range []*Entry{
 		entry(1, now-600*ms, 2), entry(2, now-20*ms, 2), entry(3, now-10*ms, 2), entry(4, now-50*ms, 1), entry(5, now-700*ms, 2),
 	} {
-		qt.Assert(t, r.Add(now, e, state(50)), qt.IsTrue)
+		qt.Assert(t, r.Add(now, e, state(50)), qt.IsNil)
 	}
 	_, ok := r.Next(now, state(50))
 	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("none passes while the upstream is full"))
@@ -69,13 +69,13 @@
 	r, now := New(), 2000*ms
 	added := 0
 	for n := range 300 {
-		if r.Add(now, entry(n, now, 1), state(50)) {
+		if r.Add(now, entry(n, now, 1), state(50)) == nil {
 			added++
 		}
 	}
 	// 1.4 s at four slots of 30 ms.
 	qt.Assert(t, added > 180 && added < 190, qt.IsTrue, qt.Commentf("%d", added))
-	qt.Assert(t, r.Add(now, entry(0, now, 1), state(50)), qt.IsTrue, qt.Commentf("a copy of one that waits is taken in"))
+	qt.Assert(t, r.Add(now, entry(0, now, 1), state(50)), qt.IsNil, qt.Commentf("a copy of one that waits is taken in"))
 }
 
 func TestWaitingEndsWithTheCaller(t *testing.T) {
@@ -87,3 +87,36 @@
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, r.Len(), qt.Equals, 0)
 }
+
+// TestTheLastInOrderIsRefused replays the return of all upstreams: a room full of
+// callers that have waited for long must not turn away those that have just come.
+func TestTheLastInOrderIsRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		// age and priority of the newcomer, where all others are 600 ms old and of
+		// priority 1.
+		age      instant.Instant
+		priority uint32
+		refused  bool
+	}{
+		{"Fresh", 0, 1, false},
+		{"FreshButLessUrgent", 0, 2, false},
+		{"LateAndUrgent", 700 * ms, 0, false},
+		{"LateAndLessUrgent", 500 * ms, 2, true},
+		{"Oldest", 700 * ms, 1, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, now := New(), 2000*ms
+			n := 0
+			for r.Add(now, entry(n, now-600*ms, 1), state(50)) == nil {
+				n++
+			}
+			e := entry(n+1, now-test.age, test.priority)
+			refused := r.Add(now, e, state(50))
+			qt.Assert(t, refused, qt.IsNotNil)
+			qt.Assert(t, refused == e, qt.Equals, test.refused)
+			qt.Assert(t, r.Len(), qt.Equals, n)
+		})
+	}
+}
