Measure relayed flows by jaytack bench relay

The virtual fleet's usual and grown sizes move out of its tests, with a seam for how candidates are drawn. The experiment prints credit and waiting times at the crest of both, the baselines (all candidates compared, by hash alone), the bound without any queue, and the return after a loss of power. Not built: the plot.

--- a/internal/experiment/bench/bench.go
+++ b/internal/experiment/bench/bench.go
@@ -1,6 +1,6 @@
 // Package bench measures the decisions of jaytack.
 //
-// The experiments churn, crest and blocking drive the core that the daemons run
+// The experiments churn, crest, blocking and relay drive the core that the daemons run
 // under virtual time: the same seed prints the same figures. The experiments
 // route and control also measure sockets and processor time. Each figure is
 // printed beside its target and the figure of a baseline from the same run.
@@ -65,6 +65,7 @@
 	"churn":    churn,
 	"control":  control,
 	"crest":    crest,
+	"relay":    relayed,
 	"route":    route,
 }
 
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -33,7 +33,7 @@
 
 // place chooses the agent of a new flow.
 func (c *Core) place(now instant.Instant, p flow.Packet, m *message.Carried) {
-	candidates := load.Sample(p.Flow.Hash(), c.candidates(now, m))
+	candidates := c.Sample(p.Flow.Hash(), c.candidates(now, m))
 	to, ok := c.board.Choose(candidates)
 	if !ok || len(m.Excluded) >= maxPlacements {
 		c.refuse(now, p, m, "NoUpstreamTakesFlows")
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -149,6 +149,8 @@
 	verdict.Verdict
 	Roster *roster.Roster
 	Counts Counts
+	// Sample draws the candidates that a new flow is compared at.
+	Sample func(hash uint64, candidates []load.Candidate) []load.Candidate
 	// OnWait is called with the time that a flow waited in front of the upstream.
 	OnWait func(time.Duration)
 
@@ -173,7 +175,7 @@
 // New returns the core of an agent that has heard of nobody.
 func New(cfg Config) *Core {
 	c := &Core{
-		Config: cfg, OnWait: func(time.Duration) {}, Roster: roster.New(cfg.Self, cfg.DataCentre),
+		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Roster: roster.New(cfg.Self, cfg.DataCentre),
 		directory: directory.New(), table: ownership.New(), board: load.New(), room: waiting.New(),
 	}
 	c.announce(0)
--- a/internal/role/command/bench.go
+++ b/internal/role/command/bench.go
@@ -8,7 +8,7 @@
 )
 
 type benchCmd struct {
-	Experiment string `arg:"" enum:"blocking,churn,control,crest,route" help:"blocking, churn, control, crest or route."`
+	Experiment string `arg:"" enum:"blocking,churn,control,crest,relay,route" help:"blocking, churn, control, crest, relay or route."`
 	Seed       uint64 `default:"1" help:"The seed of the first run."`
 	Runs       int    `default:"1" help:"The number of runs, each with the next seed."`
 	Output     string `enum:"text,json" default:"text" help:"text or json."`
--- a/internal/standin/relay/caller.go
+++ b/internal/standin/relay/caller.go
@@ -84,15 +84,35 @@
 	waiting             bool
 }
 
+// Work of requests: log-normal round the kind's, of which some take many times as long.
+const (
+	workSpread = 0.5
+	longShare  = 0.03
+	longTimes  = 7
+	// mostTimes bounds the work of one request.
+	mostTimes = 10
+)
+
+// LongShare returns the share of requests whose own work is longer than an aim.
+func LongShare(aim, work time.Duration) float64 {
+	beyond := func(d time.Duration) float64 {
+		x := (math.Log(float64(d)/float64(work)) + workSpread*workSpread/2) / workSpread
+		return 0.5 * math.Erfc(x/math.Sqrt2)
+	}
+	if aim > mostTimes*work {
+		return 0
+	}
+	return (1-longShare)*beyond(aim) + longShare*beyond(aim/longTimes)
+}
+
 // request names carry their kind in the low bits, so that work follows from the name.
 func (w *World) workOf(request uint32) time.Duration {
 	k := &w.Callers[request%uint32(len(w.Callers))]
-	// Log-normal with a spread of a half; 3 % take seven times as long.
-	d := float64(k.Work) * math.Exp(0.5*w.Random.NormFloat64()-0.125)
-	if w.Random.IntN(100) < 3 {
-		d *= 7
+	d := float64(k.Work) * math.Exp(workSpread*w.Random.NormFloat64()-workSpread*workSpread/2)
+	if w.Random.Float64() < longShare {
+		d *= longTimes
 	}
-	return time.Duration(min(d, 10*float64(k.Work)))
+	return time.Duration(min(d, mostTimes*float64(k.Work)))
 }
 
 func (w *World) startCallers(kind Kind) {
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -22,6 +22,9 @@
 	} else {
 		tick = serving.TickEvery
 		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.starts, Codec: w.codec, Started: w.now, HeartbeatEvery: heartbeatEvery})
+		if w.Sample != nil {
+			p.Agent.Sample = w.Sample
+		}
 	}
 	w.tick(p, p.starts, tick)
 	w.after(storeDelay, func() { w.join(p, p.starts) })
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/forwarding"
+	"github.com/jaytack/jaytack/internal/relay/load"
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/routes"
 	"github.com/jaytack/jaytack/internal/relay/serving"
@@ -69,6 +70,9 @@
 	Near, Far, Caller time.Duration
 	// LossPerMille of all datagrams are lost.
 	LossPerMille int
+	// Sample draws the candidates that a new flow is compared at, as the daemons do
+	// where it is nil.
+	Sample func(hash uint64, candidates []load.Candidate) []load.Candidate
 	// Trace gets the decisions of all processes, if set.
 	Trace func(at time.Duration, process flow.IP, event string, pairs []any)
 }
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -13,42 +13,11 @@
 	"github.com/jaytack/jaytack/internal/relay/serving"
 )
 
-// steady returns a load that does not change.
-func steady(rate float64) func(time.Duration) float64 {
-	return func(time.Duration) float64 { return rate }
-}
-
-// registro is a fleet of the usual size.
-func registro(seed uint64) Config {
-	return Config{
-		Seed: seed, DataCentres: 3, Balancers: 6, Near: 200 * time.Microsecond, Far: 3400 * time.Microsecond, Caller: 3 * time.Millisecond,
-		LossPerMille: 1,
-		Services:     []Service{{"padron", 7, 4, 16}, {"recuento", 3, 4, 16}},
-		Callers: []Kind{
-			{Name: "Lookup", Service: 0, Callers: 60, Rate: steady(1.3), Long: true, Safe: true, Work: 26 * time.Millisecond, Aim: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1, Late: 0.3, Retries: 2},
-			{Name: "Feed", Service: 0, Callers: 30, Rate: steady(0.8), Work: 33 * time.Millisecond, Aim: 200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 2, Late: 0.6, Retries: 2},
-			{Name: "Submit", Service: 1, Callers: 20, Rate: steady(0.4), Work: 4 * time.Millisecond, Aim: 500 * time.Millisecond, Deadline: 8 * time.Second, Worth: 1, Late: 0.3, Retries: 2},
-		},
-	}
-}
-
-// served returns the credit of the requests that began between two times.
-func served(w *World, from, to time.Duration) float64 {
-	var got, owed float64
-	for _, r := range w.Results {
-		if r.At >= from && r.At < to {
-			owed += r.Kind.Worth
-			got += r.Kind.Worth * r.Credit()
-		}
-	}
-	return got / owed
-}
-
 func TestCalmDay(t *testing.T) {
-	w := New(registro(1))
+	w := New(Registro(1))
 	w.Run(12 * time.Second)
 	qt.Assert(t, w.Broken, qt.HasLen, 0)
-	qt.Assert(t, served(w, time.Second, 10*time.Second) > 0.97, qt.IsTrue, qt.Commentf("%.3f", served(w, time.Second, 10*time.Second)))
+	qt.Assert(t, w.Served(time.Second, 10*time.Second) > 0.97, qt.IsTrue, qt.Commentf("%.3f", w.Served(time.Second, 10*time.Second)))
 }
 
 func TestFlowsSurvive(t *testing.T) {
@@ -119,11 +88,11 @@
 	for _, test := range tests {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%s/%d", test.name, seed), func(t *testing.T) {
-				w := New(registro(seed))
+				w := New(Registro(seed))
 				test.change(w)
 				w.Run(12 * time.Second)
 				qt.Check(t, w.Broken, qt.HasLen, 0)
-				got := served(w, 2*time.Second, 10*time.Second)
+				got := w.Served(2*time.Second, 10*time.Second)
 				t.Logf("served %.3f", got)
 				qt.Check(t, got >= test.least, qt.IsTrue, qt.Commentf("served %.3f", got))
 			})
@@ -133,7 +102,7 @@
 
 func TestUpstreamRestartTellsCallers(t *testing.T) {
 	var resets []string
-	cfg := registro(4)
+	cfg := Registro(4)
 	cfg.Trace = func(_ time.Duration, _ flow.IP, event string, pairs []any) {
 		if event == "FlowReset" {
 			resets = append(resets, fmt.Sprint(pairs...))
@@ -147,7 +116,7 @@
 	w.Run(8 * time.Second)
 	qt.Assert(t, w.Broken, qt.HasLen, 0)
 	qt.Assert(t, strings.Contains(strings.Join(resets, "\n"), "UpstreamLostFlow"), qt.IsTrue)
-	qt.Assert(t, served(w, 3*time.Second, 7*time.Second) > 0.9, qt.IsTrue)
+	qt.Assert(t, w.Served(3*time.Second, 7*time.Second) > 0.9, qt.IsTrue)
 }
 
 // countEvents returns how often each event was decided.
@@ -158,7 +127,7 @@
 }
 
 func TestCrashedUpstreamGetsNoNewFlows(t *testing.T) {
-	cfg := registro(6)
+	cfg := Registro(6)
 	n := countEvents(&cfg)
 	w := New(cfg)
 	w.At(3*time.Second, func() { w.Agents[0].Upstream.CrashVisibly() })
@@ -166,11 +135,11 @@
 	qt.Assert(t, w.Broken, qt.HasLen, 0)
 	// One bounce tells all agents; a few flows may be on their way meanwhile.
 	qt.Assert(t, n["FirstPacketBounced"] > 0 && n["FirstPacketBounced"] < 10, qt.IsTrue, qt.Commentf("%d", n["FirstPacketBounced"]))
-	qt.Assert(t, served(w, 3*time.Second, 8*time.Second) > 0.95, qt.IsTrue)
+	qt.Assert(t, w.Served(3*time.Second, 8*time.Second) > 0.95, qt.IsTrue)
 }
 
 func TestFlowIsNotPassedInCircles(t *testing.T) {
-	cfg := registro(7)
+	cfg := Registro(7)
 	n := countEvents(&cfg)
 	w := New(cfg)
 	w.At(3*time.Second, func() {
@@ -187,7 +156,7 @@
 }
 
 func TestResetOfAskedUpstreamStaysInside(t *testing.T) {
-	cfg := registro(8)
+	cfg := Registro(8)
 	n := countEvents(&cfg)
 	w := New(cfg)
 	w.At(2*time.Second, func() {
@@ -204,7 +173,7 @@
 }
 
 func TestRestartedAgentKeepsDraining(t *testing.T) {
-	w := New(registro(9))
+	w := New(Registro(9))
 	a := w.Agents[0]
 	w.At(3*time.Second, func() { a.Upstream.Drain(6 * time.Second) })
 	// The list is written every 1.5 s.
@@ -217,7 +186,7 @@
 }
 
 func TestLateHeartbeatAfterRestartEndsNoFlow(t *testing.T) {
-	w := New(registro(10))
+	w := New(Registro(10))
 	a := w.Agents[0]
 	w.At(3*time.Second, func() { w.Restart(a, 100*time.Millisecond) })
 	w.At(3150*time.Millisecond, func() {
@@ -229,7 +198,7 @@
 }
 
 func TestLateLeaveAfterRestartEndsNothing(t *testing.T) {
-	w := New(registro(11))
+	w := New(Registro(11))
 	a := w.Agents[0]
 	w.At(3*time.Second, func() { w.Restart(a, 100*time.Millisecond) })
 	w.At(3150*time.Millisecond, func() { a.Agent.Leave(w.now, "old") })
@@ -238,7 +207,7 @@
 }
 
 func TestProcessesRestartWhileTheStoreIsDown(t *testing.T) {
-	w := New(registro(12))
+	w := New(Registro(12))
 	w.At(2*time.Second, func() { w.StoreDown = true })
 	w.At(3*time.Second, func() {
 		w.Restart(w.Agents[0], 200*time.Millisecond)
@@ -246,7 +215,7 @@
 	})
 	w.Run(9 * time.Second)
 	qt.Assert(t, w.Broken, qt.HasLen, 0)
-	got := served(w, 4*time.Second, 8*time.Second)
+	got := w.Served(4*time.Second, 8*time.Second)
 	qt.Assert(t, got > 0.95, qt.IsTrue, qt.Commentf("%.3f", got))
 }
 
@@ -260,7 +229,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			cfg := registro(13)
+			cfg := Registro(13)
 			n := countEvents(&cfg)
 			w := New(cfg)
 			w.Configure(Address(0), test.before...)
@@ -282,7 +251,7 @@
 
 func TestSameSeedSameResults(t *testing.T) {
 	run := func() []Result {
-		w := New(registro(5))
+		w := New(Registro(5))
 		w.At(2*time.Second, func() { w.Restart(w.Balancers[1], time.Second) })
 		w.Run(5 * time.Second)
 		for i := range w.Results {
--- a/internal/standin/relay/searching_test.go
+++ b/internal/standin/relay/searching_test.go
@@ -7,17 +7,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// restartAll loses all power, upstreams included, for a time.
-func restartAll(w *World, off time.Duration) {
-	for _, p := range append(w.Agents, w.Balancers...) {
-		if p.Upstream != nil && p.Upstream.alive {
-			p.Upstream.Crash()
-			w.after(off, p.Upstream.Start)
-		}
-		w.Restart(p, off)
-	}
-}
-
 // TestSearchPassesOverAgentsWithoutUpstreams replays an upstream that leaves, a loss
 // of all power, and the end of that upstream's agent, which was started anew and
 // vanishes: searches must not wait until its entry lapses.
@@ -35,7 +24,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			cfg := registro(14)
+			cfg := Registro(14)
 			n := countEvents(&cfg)
 			before := 0
 			w := New(cfg)
@@ -46,7 +35,7 @@
 				if !test.entries {
 					w.LoseEntries()
 				}
-				restartAll(w, time.Second)
+				w.LosePower(time.Second)
 			})
 			w.At(lost+time.Second+test.vanish, func() {
 				before = n["OwnerNotFound"]
