--- a/internal/role/command/demo.go
+++ b/internal/role/command/demo.go
@@ -31,6 +31,7 @@
 )
 
 type demoCmd struct {
+	Path    string        `enum:"terminated,relay" default:"terminated" help:"terminated: agents end the callers' flows; relay: they relay them."`
 	For     time.Duration `default:"6s" help:"How long callers run."`
 	Seed    uint64        `default:"1" help:"The seed of the stand-ins."`
 	Network uint8         `default:"20" help:"The second octet of the loopback addresses."`
@@ -57,6 +58,9 @@
 
 // Run runs the demo. It fails with ErrPromise where a promise did not hold.
 func (c *demoCmd) Run(s *streams) error {
+	if c.Path == "relay" {
+		return c.runRelay(s)
+	}
 	logTo := io.Discard
 	if c.Log != "" {
 		file, err := os.Create(c.Log)
