Explain from the logs what became of a flow

jaytack explain takes a flow and the logs of the processes, and prints the lines that name the flow, what their processes believed meanwhile, and the cause: the meaning of the last line that decided.

--- a/internal/role/command/command.go
+++ b/internal/role/command/command.go
@@ -63,6 +63,7 @@
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in for the platform, an upstream or callers."`
 	Demo     demoCmd     `cmd:"" help:"Run everything in one process for a few seconds."`
 	Bench    benchCmd    `cmd:"" help:"Measure the decisions."`
+	Explain  explainCmd  `cmd:"" help:"Find in the logs what became of a relayed flow, and why."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
