--- a/internal/relay/directory/directory.go
+++ b/internal/relay/directory/directory.go
@@ -5,7 +5,8 @@
 // A search ends with a claim, or with proof that no upstream holds the flow: every
 // member of the group has denied it. A denial stays valid, since a flow never moves
 // to another upstream once it is open. An agent that does not answer leaves the
-// search open; the caller's next packet goes to those that have not answered.
+// search open; it is asked again a few times, since of the many questions and answers
+// of a large group some are lost, and by each further packet of the caller.
 //
 // # Usage
 //
@@ -62,6 +63,8 @@
 	queue []*message.Carried
 	// LastAck is the acknowledgement in the caller's last packet.
 	LastAck uint32
+	// Repeats counts how often agents were asked again since that packet.
+	Repeats int
 }
 
 // Queue keeps a packet until the owner is known.
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -44,7 +44,7 @@
 		c.Counts.Overflowed++
 		return
 	}
-	s.LastAck = p.AckSeq
+	s.LastAck, s.Repeats = p.AckSeq, 0
 	if s.Asked != 0 && now.Sub(s.Asked) < askAgainAfter {
 		s.Queue(m)
 		return
@@ -70,6 +70,19 @@
 	}
 }
 
+// askAgain repeats the question of searches whose answers are overdue.
+func (c *Core) askAgain(now instant.Instant) {
+	c.directory.Searches(func(id flow.ID, s *directory.Search) {
+		if s.Last == nil || s.Repeats >= maxRepeats || now.Sub(s.Asked) < askAgainAfter {
+			return
+		}
+		s.Repeats++
+		s.Asked = now
+		c.ask(now, s, s.Last)
+		c.conclude(now, id, s)
+	})
+}
+
 // claimed notes the owner of a flow and passes on what waited for it.
 func (c *Core) claimed(now instant.Instant, from flow.IP, id flow.ID) {
 	c.Counts.Claims++
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -33,6 +33,7 @@
 		c.expire(now)
 	}
 	c.rehome(now)
+	c.askAgain(now)
 	c.report(now)
 }
 
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -60,6 +60,9 @@
 	// askAgainAfter is how long a search waits before agents are asked again that
 	// have not answered: longer than the way there and back between data centres.
 	askAgainAfter = 100 * time.Millisecond
+	// maxRepeats bounds how often agents are asked again for one packet of the caller,
+	// which sends the next one after 1.6 s at the latest.
+	maxRepeats = 5
 	// bouncesAfter is the silence after which a bounced first packet means that the
 	// upstream is down; one that answers is full for a moment.
 	bouncesAfter = 50 * time.Millisecond
--- a/internal/standin/relay/searching_test.go
+++ b/internal/standin/relay/searching_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/jaytack/jaytack/internal/relay/flow"
 )
 
 // TestSearchPassesOverAgentsWithoutUpstreams replays an upstream that leaves, a loss
@@ -57,3 +59,33 @@
 		})
 	}
 }
+
+// TestSearchOutlivesLostDatagrams replays the restart of all upstreams of a large group
+// on links that lose one datagram of a hundred: callers of flows that have ended are
+// told within the aim of their requests, although most searches lose a question or an
+// answer.
+func TestSearchOutlivesLostDatagrams(t *testing.T) {
+	cfg := GrownRegistro(21)
+	cfg.LossPerMille = 10
+	cfg.Scale(0.5)
+	var told, late int
+	cfg.Trace = func(_ time.Duration, _ flow.IP, event string, pairs []any) {
+		if event != "FlowReset" {
+			return
+		}
+		for i, p := range pairs {
+			if p == "Took" {
+				told++
+				if pairs[i+1].(time.Duration) > cfg.Callers[0].Aim {
+					late++
+				}
+			}
+		}
+	}
+	w := New(cfg)
+	w.At(3*time.Second, func() { w.LosePower(300 * time.Millisecond) })
+	w.Run(6 * time.Second)
+	qt.Assert(t, w.Broken, qt.HasLen, 0)
+	qt.Assert(t, told > 500, qt.IsTrue, qt.Commentf("%d", told))
+	qt.Assert(t, late*100 < told, qt.IsTrue, qt.Commentf("%d of %d late", late, told))
+}
