Pass a flow on from a full upstream where others are freer

Change: whatever is turned away goes to another agent if the best of its sample is at least a round of requests freer by the loads of now; else it is refused.

--- a/internal/relay/serving/offer.go
+++ b/internal/relay/serving/offer.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
@@ -50,20 +51,29 @@
 	c.letPass(now)
 }
 
-// turnAway passes a flow on that would not have its turn here, or refuses it.
+// turnAway passes a flow on that would not have its turn here, or refuses it where
+// others are as full.
 func (c *Core) turnAway(now instant.Instant, e *waiting.Entry) {
 	p, ok := c.Codec.FromCaller(e.Carried.Packet)
 	if !ok {
 		return
 	}
 	e.Carried.WaitedMillis += uint32(now.Sub(e.Came) / time.Millisecond)
-	if e.Came == now && len(e.Carried.Excluded) < maxPlacements && len(c.Roster.Group(c.Service)) > 1 {
+	if len(e.Carried.Excluded) < maxPlacements && c.othersAreFreer(now, p, e.Carried) {
 		c.passOn(now, p, e.Carried)
 		return
 	}
 	c.refuse(now, p, e.Carried, "UpstreamFull")
 }
 
+// othersAreFreer reports whether a flow would wait less at another agent.
+func (c *Core) othersAreFreer(now instant.Instant, p flow.Packet, m *message.Carried) bool {
+	c.noteOwnLoad(now)
+	others := slices.DeleteFunc(c.candidates(now, m), func(x load.Candidate) bool { return x.Agent == c.Self })
+	best, ok := c.board.Choose(c.Sample(p.Flow.Hash(), others))
+	return ok && c.board.Cost(load.Candidate{Agent: best})+passOnGain < c.board.Cost(load.Candidate{Agent: c.Self})
+}
+
 // fullness returns how full the upstream is.
 func (c *Core) fullness(now instant.Instant) waiting.State {
 	work := c.table.Work()
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -26,8 +26,7 @@
 		c.endFlows(now, "UpstreamLeft")
 	}
 	c.letPass(now)
-	_, idle := c.table.Load()
-	c.board.Update(c.Self, load.Signal{Slots: c.up.Slots, Busy: c.table.InSystem(now) + c.room.Len(), Idle: idle, Cold: c.up.coldUntil > now})
+	c.noteOwnLoad(now)
 	if now >= c.expireAt {
 		c.expireAt = now.Add(expireEvery)
 		c.expire(now)
@@ -37,6 +36,12 @@
 	c.report(now)
 }
 
+// noteOwnLoad puts the own upstream's load on the board.
+func (c *Core) noteOwnLoad(now instant.Instant) {
+	_, idle := c.table.Load()
+	c.board.Update(c.Self, load.Signal{Slots: c.up.Slots, Busy: c.table.InSystem(now) + c.room.Len(), Idle: idle, Cold: c.up.coldUntil > now})
+}
+
 // report tells peers and balancers about the agent.
 func (c *Core) report(now instant.Instant) {
 	group, balancers := now >= c.groupAt, now >= c.balancersAt
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -76,6 +76,9 @@
 	maxMissed = 512
 	// maxPlacements bounds how often a new flow is passed on to another agent.
 	maxPlacements = 4
+	// passOnGain is how much less a flow must wait elsewhere to be passed on, in rounds
+	// of requests: more than the hops and the age of what is known of others cost.
+	passOnGain = 1
 	// claimsPerTick bounds the claims after a change of homes.
 	claimsPerTick = 200
 	// absentAfter is the time, in intervals of heartbeats, for which an agent that has
