Let no single balancer keep configurations from others

Ruled out: the store (the balancer had not lost it), a slow fetch (none was tried).

Change: who has heard of a newer version for 1 s fetches it from elsewhere itself.

A balancer that has lost the store now announces it, and the next one watches.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -87,6 +87,8 @@
 		Own: func(r *message.Record) {
 			a.with(func(c *serving.Core) { c.FoundOwn(a.Now(), r) })
 		},
+		// An agent serves without the store; its log tells.
+		Health: func(bool) {},
 	}, p.Store, p.Journal)
 	go func() { a.readUpstream() }()
 	go func() { a.tick() }()
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -86,6 +86,12 @@
 	follow.Fetch = func(ctx context.Context, from netip.Addr) ([]byte, error) {
 		return process.Fetch(ctx, netip.AddrPortFrom(from, s.PeerPort), configurationPath)
 	}
+	health := func(part string) func(bool) {
+		return func(ok bool) {
+			b.with(func(c *forwarding.Core) { c.StoreHealth(b.Now(), part, ok) })
+		}
+	}
+	follow.Health = health("Follower")
 	b.follower = follower.New(follow, p.Store, p.Journal)
 	b.registry = registry.New(registry.Config{
 		Self: p.Self(), Record: b.record,
@@ -95,6 +101,7 @@
 		Own: func(r *message.Record) {
 			b.with(func(c *forwarding.Core) { c.FoundOwn(b.Now(), r) })
 		},
+		Health: health("Registry"),
 	}, p.Store, p.Journal)
 	go func() { b.readCallers() }()
 	go func() { b.tick() }()
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -50,6 +50,8 @@
 	// Watches reports whether this process is among those that watch; the others
 	// hear of changes from them.
 	Watches func() bool
+	// Health is called when the store is lost and when it is back.
+	Health func(ok bool)
 	// Fetch returns the value that another balancer has in force.
 	Fetch func(ctx context.Context, from netip.Addr) ([]byte, error)
 }
@@ -168,8 +170,10 @@
 	switch {
 	case err != nil && !f.failing:
 		f.Warn("StoreLost", "By", "Follower", "Reason", err)
+		f.Health(false)
 	case err == nil && f.failing:
 		f.Info("StoreRegained", "By", "Follower")
+		f.Health(true)
 	}
 	if err == nil {
 		f.retry = retryAfter
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -70,6 +70,7 @@
 			}
 		},
 		Watches: func() bool { return watches },
+		Health:  func(bool) {},
 		Fetch: func(context.Context, netip.Addr) ([]byte, error) {
 			if f.peer == "" {
 				return nil, errors.New("no answer")
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -48,6 +48,10 @@
 	watchers = 3
 	// expireEvery is how often hints are swept.
 	expireEvery = 2 * time.Second
+	// waitNear is how long a newer version that is known to be elsewhere is awaited from
+	// the data centre's own balancers: some times as long as two reports and two fetches
+	// take, a fraction of the seconds within which it is to be in force.
+	waitNear = time.Second
 	// isolatedAfter is the silence of all agents after which the balancer says that
 	// it cannot route.
 	isolatedAfter = time.Second
@@ -96,11 +100,15 @@
 	reportAt instant.Instant
 	expireAt instant.Instant
 	changes  uint64
+	// newerSince is when a newer version was first heard of, 0 while there is none.
+	newerSince instant.Instant
+	// lost names those parts of the process that cannot reach the store.
+	lost map[string]bool
 }
 
 // New returns the core of a balancer that has heard of nobody.
 func New(cfg Config) *Core {
-	return &Core{Config: cfg, Roster: roster.New(cfg.Self, cfg.DataCentre), hints: make(map[flow.ID]*hint)}
+	return &Core{Config: cfg, Roster: roster.New(cfg.Self, cfg.DataCentre), hints: make(map[flow.ID]*hint), lost: make(map[string]bool)}
 }
 
 // Sizes returns the number of hints and of waiting packets.
@@ -286,12 +294,24 @@
 	if !c.Roster.Report(now, r) {
 		return
 	}
-	if r.Service == "" && routes.Version(r.Version) > c.Routes.Version() && (r.DataCentre == c.DataCentre || c.firstNear(now)) {
-		c.Do(verdict.Action{Kind: verdict.Refresh, To: from})
+	if r.Service == "" && routes.Version(r.Version) > c.Routes.Version() {
+		c.heardOfNewer(now, from, r.DataCentre)
 	}
 	c.rosterChanged(now)
 }
 
+// heardOfNewer has a newer version fetched from a balancer of the own data centre, or
+// from elsewhere where this balancer does so for its data centre or where the one that
+// does has not got it, since it may be cut off.
+func (c *Core) heardOfNewer(now instant.Instant, from flow.IP, dataCentre string) {
+	if c.newerSince == 0 {
+		c.newerSince = now
+	}
+	if dataCentre == c.DataCentre || c.firstNear(now) || now.Sub(c.newerSince) >= waitNear {
+		c.Do(verdict.Action{Kind: verdict.Refresh, To: from})
+	}
+}
+
 // firstNear reports whether the balancer is the one of its data centre that fetches
 // configurations from elsewhere: the lowest instance there that reports. The others
 // get them from it, since bytes between data centres cost more.
@@ -340,13 +360,28 @@
 		}
 		return
 	}
+	c.newerSince = 0
 	c.Believe("ConfigurationApplied", "Version", cfg.Version, "Before", before, "Routes", len(cfg.Routes), "Source", source)
 	c.reportAt = min(c.reportAt, now)
 	c.retry(now)
 }
 
+// StoreHealth notes whether a part of the process reaches the store. A balancer that
+// does not says so, so that another one watches in its place.
+func (c *Core) StoreHealth(now instant.Instant, part string, ok bool) {
+	before := len(c.lost)
+	if ok {
+		delete(c.lost, part)
+	} else {
+		c.lost[part] = true
+	}
+	if (before == 0) != (len(c.lost) == 0) {
+		c.reportAt = min(c.reportAt, now)
+	}
+}
+
 // Watches reports whether the balancer is among the few that watch the store for
-// new configurations: those with the lowest instances that report.
+// new configurations: those with the lowest instances that report and reach the store.
 func (c *Core) Watches(now instant.Instant) bool {
 	before := 0
 	for _, m := range c.Roster.Balancers() {
@@ -366,8 +401,11 @@
 // Record returns what the balancer announces.
 func (c *Core) Record() *message.Record {
 	s := message.State_StateReady
-	if c.stopping {
+	switch {
+	case c.stopping:
 		s = message.State_StateRestarting
+	case len(c.lost) > 0:
+		s = message.State_StateSilent
 	}
 	return &message.Record{
 		Instance: uint32(c.Self), DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence, State: s,
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -16,8 +16,12 @@
 
 // report tells a core of a balancer with a version in force.
 func report(c *forwarding.Core, now instant.Instant, from flow.IP, dataCentre string, sequence uint64, version int64) {
+	reportState(c, now, from, dataCentre, sequence, version, message.State_StateReady)
+}
+
+func reportState(c *forwarding.Core, now instant.Instant, from flow.IP, dataCentre string, sequence uint64, version int64, s message.State) {
 	c.Message(now, from, &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: &message.Record{
-		Instance: uint32(from), DataCentre: dataCentre, Incarnation: 1, Sequence: sequence, State: message.State_StateReady, Version: version,
+		Instance: uint32(from), DataCentre: dataCentre, Incarnation: 1, Sequence: sequence, State: s, Version: version,
 	}}}})
 }
 
@@ -49,3 +53,41 @@
 	report(c, now, 5, "b", 2, 2)
 	qt.Assert(t, refreshes(c), qt.DeepEquals, []flow.IP{5}, qt.Commentf("10 is silent"))
 }
+
+// TestCutPeerDoesNotKeepConfigurationsAway replays a cut between data centres that
+// spares this balancer: the one that should fetch for the data centre lives and reports,
+// but cannot reach those that have the newer version.
+func TestCutPeerDoesNotKeepConfigurationsAway(t *testing.T) {
+	now := instant.Instant(time.Second)
+	c := forwarding.New(forwarding.Config{Self: 20, DataCentre: "a"})
+	c.Configure(now, &routes.Configuration{Version: 1}, "Read")
+	// Reports come every 0.4 s, configurations are to be in force after 3 s.
+	for i := range uint64(5) {
+		report(c, now, 10, "a", i+1, 1)
+		report(c, now, 5, "b", i+1, 2)
+		now = now.Add(400 * time.Millisecond)
+	}
+	qt.Assert(t, len(refreshes(c)) > 0, qt.IsTrue)
+}
+
+// TestBalancersThatLostTheStoreAreReplacedAsWatchers replays a store that turns the
+// watching balancers away and serves the others.
+func TestBalancersThatLostTheStoreAreReplacedAsWatchers(t *testing.T) {
+	now := instant.Instant(time.Second)
+	c := forwarding.New(forwarding.Config{Self: 20, DataCentre: "a"})
+	for id := flow.IP(1); id <= 3; id++ {
+		report(c, now, id, "b", 1, 1)
+	}
+	qt.Assert(t, c.Watches(now), qt.IsFalse)
+	for id := flow.IP(1); id <= 3; id++ {
+		reportState(c, now, id, "b", 2, 1, message.State_StateSilent)
+	}
+	qt.Assert(t, c.Watches(now), qt.IsTrue)
+	c.StoreHealth(now, "Registry", false)
+	qt.Assert(t, c.Record().State, qt.Equals, message.State_StateSilent)
+	c.StoreHealth(now, "Follower", false)
+	c.StoreHealth(now, "Registry", true)
+	qt.Assert(t, c.Record().State, qt.Equals, message.State_StateSilent)
+	c.StoreHealth(now, "Follower", true)
+	qt.Assert(t, c.Record().State, qt.Equals, message.State_StateReady)
+}
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -61,6 +61,8 @@
 	Loaded func([]*message.Record)
 	// Own is called with the entry that an earlier process of the instance left.
 	Own func(*message.Record)
+	// Health is called when the store is lost and when it is back.
+	Health func(ok bool)
 }
 
 // Registry is one process's part in the list of members.
@@ -184,8 +186,10 @@
 	switch {
 	case err != nil && !r.failing:
 		r.Warn("StoreLost", "By", "Registry", "Reason", err)
+		r.Health(false)
 	case err == nil && r.failing:
 		r.Info("StoreRegained", "By", "Registry")
+		r.Health(true)
 	}
 	r.failing = err != nil
 }
--- a/internal/relay/registry/registry_test.go
+++ b/internal/relay/registry/registry_test.go
@@ -58,6 +58,7 @@
 				f.seen[self] = append(f.seen[self], flow.IP(rec.Instance))
 			}
 		},
+		Health: func(bool) {},
 		Own: func(rec *message.Record) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
