--- a/internal/standin/relay/crest_test.go
+++ b/internal/standin/relay/crest_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-
 	"testing"
 	"time"
 
