Split the forwarding core and the soak's world by what they do

Change: functions moved whole into waiting.go, configuration.go, promises_test.go and router_test.go; no line of logic or of a check differs.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -20,7 +20,6 @@
 package forwarding
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
@@ -75,16 +74,6 @@
 	used  instant.Instant
 }
 
-type waiting struct {
-	id flow.ID
-	// since is when the packet came.
-	since instant.Instant
-	// until is when the caller has given up.
-	until instant.Instant
-	opens bool
-	bytes []byte
-}
-
 // Core is the decisions of one balancer.
 type Core struct {
 	Config
@@ -221,48 +210,6 @@
 	c.Do(verdict.Action{Kind: verdict.Send, To: to, Message: &message.Envelope{Body: &message.Envelope_Carried{Carried: m}}})
 }
 
-// wait keeps a packet until there is a configuration and an agent. Of the copies
-// of a first packet the last is kept.
-func (c *Core) wait(now instant.Instant, p flow.Packet) {
-	w := waiting{id: p.Flow, since: now, until: now.Add(flow.OpensFor), opens: p.Opens(), bytes: bytes.Clone(p.Bytes)}
-	if w.opens {
-		w.until = now.Add(flow.OpeningLeft(p.AckSeq))
-		for i := range c.waiting {
-			if c.waiting[i].opens && c.waiting[i].id == p.Flow {
-				c.waiting[i] = w
-				return
-			}
-		}
-	}
-	if len(c.waiting) >= maxWaiting {
-		c.Counts.Dropped++
-		return
-	}
-	c.Counts.Waited++
-	c.waiting = append(c.waiting, w)
-}
-
-// retry forwards what waited, as far as it is not too old.
-func (c *Core) retry(now instant.Instant) {
-	if len(c.waiting) == 0 {
-		return
-	}
-	queue := c.waiting
-	c.waiting = nil
-	for _, w := range queue {
-		p, ok := c.Codec.FromCaller(w.bytes)
-		if !ok || now > w.until {
-			c.Counts.Dropped++
-			continue
-		}
-		before := len(c.waiting)
-		c.forward(now, p, now.Sub(w.since))
-		if len(c.waiting) > before {
-			c.waiting[before].since, c.waiting[before].until = w.since, w.until
-		}
-	}
-}
-
 // Message handles a message of another process.
 func (c *Core) Message(now instant.Instant, from flow.IP, e *message.Envelope) {
 	switch b := e.Body.(type) {
@@ -300,30 +247,6 @@
 	c.rosterChanged(now)
 }
 
-// heardOfNewer has a newer version fetched from a balancer of the own data centre, or
-// from elsewhere where this balancer does so for its data centre or where the one that
-// does has not got it, since it may be cut off.
-func (c *Core) heardOfNewer(now instant.Instant, from flow.IP, dataCentre string) {
-	if c.newerSince == 0 {
-		c.newerSince = now
-	}
-	if dataCentre == c.DataCentre || c.firstNear(now) || now.Sub(c.newerSince) >= waitNear {
-		c.Do(verdict.Action{Kind: verdict.Refresh, To: from})
-	}
-}
-
-// firstNear reports whether the balancer is the one of its data centre that fetches
-// configurations from elsewhere: the lowest instance there that reports. The others
-// get them from it, since bytes between data centres cost more.
-func (c *Core) firstNear(now instant.Instant) bool {
-	for _, m := range c.Roster.Balancers() {
-		if m.DataCentre == c.DataCentre && m.ID() < c.Self && !m.Suspect(now) && m.State == message.State_StateReady {
-			return false
-		}
-	}
-	return true
-}
-
 // rosterChanged tells new members of the balancer and forwards what waited.
 func (c *Core) rosterChanged(now instant.Instant) {
 	if c.changes == c.Roster.Changes {
@@ -351,47 +274,6 @@
 	c.rosterChanged(now)
 }
 
-// Configure puts a configuration in force unless it is older than the present one.
-func (c *Core) Configure(now instant.Instant, cfg *routes.Configuration, source string) {
-	before := c.Routes.Version()
-	if !c.Routes.Apply(cfg) {
-		if cfg.Version < before {
-			c.Explain("ConfigurationOutdated", "Version", cfg.Version, "InForce", before, "Source", source)
-		}
-		return
-	}
-	c.newerSince = 0
-	c.Believe("ConfigurationApplied", "Version", cfg.Version, "Before", before, "Routes", len(cfg.Routes), "Source", source)
-	c.reportAt = min(c.reportAt, now)
-	c.retry(now)
-}
-
-// StoreHealth notes whether a part of the process reaches the store. A balancer that
-// does not says so, so that another one watches in its place.
-func (c *Core) StoreHealth(now instant.Instant, part string, ok bool) {
-	before := len(c.lost)
-	if ok {
-		delete(c.lost, part)
-	} else {
-		c.lost[part] = true
-	}
-	if (before == 0) != (len(c.lost) == 0) {
-		c.reportAt = min(c.reportAt, now)
-	}
-}
-
-// Watches reports whether the balancer is among the few that watch the store for
-// new configurations: those with the lowest instances that report and reach the store.
-func (c *Core) Watches(now instant.Instant) bool {
-	before := 0
-	for _, m := range c.Roster.Balancers() {
-		if m.ID() < c.Self && !m.Suspect(now) && m.State == message.State_StateReady {
-			before++
-		}
-	}
-	return before < watchers
-}
-
 // Stop announces that the process ends.
 func (c *Core) Stop(now instant.Instant) {
 	c.stopping = true
