Never reset an open flow whose route has moved to another service

Cause: a balancer that has started since a route changed its service reads only the newest version, so its packets name no former service. A fifth former service was dropped too.

Change: packets list the unnamed services too, up to 16. Their agents answer from their tables only and deliver nothing; they deny only if the table is known to be complete: the upstream started after the agent, or the agent is older than any flow. With more services, flows are reset only if the balancer's history covers the lifetime of a flow. Hints are kept with the service of their owner, and a hint teaches the balancer a former service it has not seen.

--- a/internal/relay/configsync/syncer_test.go
+++ b/internal/relay/configsync/syncer_test.go
@@ -65,7 +65,7 @@
 		Apply: func(c *routes.Configuration, _ string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if f.book.Apply(c) {
+			if f.book.Apply(0, c) {
 				f.applied = append(f.applied, c.Version)
 			}
 		},
--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -90,8 +90,11 @@
 	// UpstreamBorn is the start time of the upstream that accepted the flow, in Unix
 	// milliseconds, 0 if unknown.
 	UpstreamBorn int64
-	// OtherServices lists the services that may hold the flow if this one does not.
-	OtherServices []string
+	// OtherServices and UnnamedServices list the services that may hold the flow if this
+	// one does not; the latter only if a balancer has missed a version of the route.
+	// OthersIncomplete is set if they may lack some.
+	OtherServices, UnnamedServices []string
+	OthersIncomplete               bool
 	// LastRequestPacket is the caller's last packet of the request in progress.
 	LastRequestPacket []byte
 	// Excluded lists the agents that have already rejected the new flow.
--- a/internal/relay/forwarding/configuration.go
+++ b/internal/relay/forwarding/configuration.go
@@ -35,7 +35,7 @@
 // ApplyConfiguration applies a configuration unless it is older than the one in force.
 func (c *Core) ApplyConfiguration(now instant.Instant, cfg *routes.Configuration, source string) {
 	previous := c.Routes.Version()
-	if !c.Routes.Apply(cfg) {
+	if !c.Routes.Apply(now, cfg) {
 		if cfg.Version < previous {
 			c.LogNotable("ConfigurationOutdated", "Version", cfg.Version, "InForce", previous, "Source", source)
 		}
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -20,6 +20,7 @@
 package forwarding
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
@@ -45,6 +46,9 @@
 	// maxConfigurationWatchers limits the balancers that watch the store for new
 	// configurations. Several watch so that one still receives them if others fail.
 	maxConfigurationWatchers = 3
+	// maxSearchedServices limits the services at which a flow's owner is searched although
+	// the route does not name them: such a search asks all agents.
+	maxSearchedServices = 16
 	// expiryInterval is the interval between removals of expired hints and members.
 	expiryInterval = 2 * time.Second
 	// localFetchTimeout is how long the balancer waits for its own data centre to
@@ -71,7 +75,9 @@
 }
 
 type hint struct {
-	owner    flow.IP
+	owner flow.IP
+	// service is the service of the owner, which held the flow when it sent the hint.
+	service  string
 	lastUsed instant.Instant
 }
 
@@ -175,19 +181,21 @@
 		Packet: p.Bytes, Service: service, Balancer: uint32(c.Self), DataCentre: c.DataCentre,
 		WaitedMillis: uint32(waited / time.Millisecond), Priority: r.Priority, AimMillis: uint32(r.TargetLatency / time.Millisecond), TimeoutMillis: uint32(r.Timeout / time.Millisecond),
 	}
-	if !p.OpensFlow() {
-		m.Others = r.OtherServices(service)
-	}
 	if h := c.hints[p.Flow]; h != nil && !p.OpensFlow() {
-		if owner := c.Members.Member(h.owner); owner != nil && r.HasService(owner.Service) {
+		if owner := c.Members.Member(h.owner); owner != nil && owner.Service == h.service {
 			h.lastUsed = now
-			m.Service, m.Step, m.Others = owner.Service, message.Step_StepOwner, r.OtherServices(owner.Service)
+			m.Service, m.Step = owner.Service, message.Step_StepOwner
+			m.KnownOnly = !r.HasService(owner.Service)
+			c.setOtherServices(now, m, r)
 			c.Counts.ToOwner++
 			c.sendPacket(h.owner, m)
 			return
 		}
 		delete(c.hints, p.Flow)
 	}
+	if !p.OpensFlow() {
+		c.setOtherServices(now, m, r)
+	}
 	home, ok := c.Members.Home(now, service, c.DataCentre, hash)
 	if !ok {
 		c.handleNoAgent(now, p, service)
@@ -199,6 +207,25 @@
 	c.sendPacket(home, m)
 }
 
+// setOtherServices lists the other services that may hold the flow of a packet: those
+// that the route names or has named, and all unnamed ones, since this process may have
+// missed the version that named one of them. With more than maxSearchedServices services
+// the unnamed ones are left out, and the lists are incomplete unless the table's history
+// covers the lifetime of the flow.
+func (c *Core) setOtherServices(now instant.Instant, m *message.Carried, r *routes.Route) {
+	m.Others = r.OtherServices(m.Service)
+	all := c.Members.Services()
+	if len(all) > maxSearchedServices {
+		m.OthersIncomplete = !c.Routes.HasHistory(now)
+		return
+	}
+	for _, s := range all {
+		if s != m.Service && !slices.Contains(m.Others, s) {
+			m.Unnamed = append(m.Unnamed, s)
+		}
+	}
+}
+
 // handleNoAgent handles a packet to a service without known agents. It resets a new
 // flow only if the membership table is settled and the flow cannot be open already;
 // otherwise it queues the packet.
@@ -229,14 +256,14 @@
 func (c *Core) handleHint(now instant.Instant, m *message.Hint) {
 	c.Counts.Hints++
 	id := m.GetFlow().ID()
-	h := c.hints[id]
-	switch {
-	case m.Owner == 0:
+	owner := c.Members.Member(flow.IP(m.Owner))
+	if owner == nil {
 		delete(c.hints, id)
-	case h != nil:
-		h.owner, h.lastUsed = flow.IP(m.Owner), now
-	case len(c.hints) < maxHints:
-		c.hints[id] = &hint{flow.IP(m.Owner), now}
+		return
+	}
+	c.Routes.RecordService(now, id.Address, owner.Service)
+	if c.hints[id] != nil || len(c.hints) < maxHints {
+		c.hints[id] = &hint{owner.ID(), owner.Service, now}
 	}
 }
 
--- a/internal/relay/lookup/lookup.go
+++ b/internal/relay/lookup/lookup.go
@@ -35,9 +35,8 @@
 
 // Limits of the table.
 const (
-	// OwnerIdleTimeout is how long an unused owner is kept: the maximum lifetime of a
-	// flow.
-	OwnerIdleTimeout = 60 * time.Second
+	// OwnerIdleTimeout is how long an unused owner is kept.
+	OwnerIdleTimeout = flow.MaxLifetime
 	// SearchIdleTimeout is how long a search is kept after its last packet: longer than
 	// the callers' maximum retransmission interval.
 	SearchIdleTimeout = 2 * time.Second
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -89,6 +89,7 @@
 	dataCentre      string
 	members         map[flow.IP]*Member
 	agentsByService map[string][]*Member
+	services        []string
 	balancers       []*Member
 	// ChangeCount counts the changes of members and of their states.
 	ChangeCount uint64
@@ -125,6 +126,10 @@
 // modify the slice.
 func (t *Table) Agents(service string) []*Member { return t.agentsByService[service] }
 
+// Services lists the services that have agents, sorted. The caller must not modify the
+// slice.
+func (t *Table) Services() []string { return t.services }
+
 // Balancers returns the balancers, ordered by instance. The caller must not modify
 // the slice.
 func (t *Table) Balancers() []*Member { return t.balancers }
@@ -226,6 +231,7 @@
 		slices.SortFunc(agents, byInstance)
 	}
 	slices.SortFunc(t.balancers, byInstance)
+	t.services = slices.Sorted(maps.Keys(t.agentsByService))
 }
 
 // Expire removes and returns the members that neither source has confirmed for
--- a/internal/relay/process/process.go
+++ b/internal/relay/process/process.go
@@ -92,6 +92,9 @@
 // Self returns the instance's address.
 func (p *Process) Self() flow.IP { return flow.IPOf(p.Settings.Instance) }
 
+// StartedMillis returns the start time in Unix milliseconds.
+func (p *Process) StartedMillis() int64 { return p.startTime.UnixMilli() }
+
 // Incarnation returns the start time in Unix milliseconds, which is higher for each
 // later process of the instance unless the clock is set back.
 func (p *Process) Incarnation() uint64 { return uint64(p.startTime.UnixMilli()) }
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	var t routes.Table
-//	changed := t.Apply(cfg)
+//	changed := t.Apply(now, cfg)
 //	route, known := t.Lookup(id.Address)
 //	service := route.ServiceFor(id.Hash())
 //
@@ -18,6 +18,7 @@
 	"slices"
 	"time"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 )
 
@@ -49,8 +50,8 @@
 	Address flow.Endpoint
 	// Shares lists the services that receive new flows, at least one.
 	Shares []Share
-	// FormerServices lists services of earlier versions, at most maxFormerServices.
-	// Their open flows stay there.
+	// FormerServices lists services of earlier versions, the latest first, at most
+	// maxFormerServices. Their open flows stay there.
 	FormerServices []string
 	Kind           Kind
 	// Priority is the priority of the requests; 0 is the highest.
@@ -96,16 +97,22 @@
 	return slices.DeleteFunc(r.Services(), func(s string) bool { return s == service })
 }
 
-// addFormerServices adds the services that only the previous version of the route has.
-func (r *Route) addFormerServices(previous *Route) {
+// addFormerServices adds the services that only the previous version of the route has,
+// and reports whether all fit into FormerServices.
+func (r *Route) addFormerServices(previous *Route) (complete bool) {
 	if previous == nil {
-		return
+		return true
 	}
 	for _, s := range previous.Services() {
-		if !r.HasService(s) && len(r.FormerServices) < maxFormerServices {
-			r.FormerServices = append(r.FormerServices, s)
+		if r.HasService(s) {
+			continue
+		}
+		if len(r.FormerServices) == maxFormerServices {
+			return false
 		}
+		r.FormerServices = append(r.FormerServices, s)
 	}
+	return true
 }
 
 // maxFormerServices limits the former services of a route.
@@ -122,9 +129,11 @@
 
 // Table holds the routes of the configuration in force.
 type Table struct {
-	version     Version
-	routes      map[flow.Endpoint]*Route
-	idleTimeout time.Duration
+	version Version
+	routes  map[flow.Endpoint]*Route
+	// historySince is when the record of former services began.
+	historySince instant.Instant
+	idleTimeout  time.Duration
 	// services lists the current services of all routes, sorted.
 	services []string
 }
@@ -141,16 +150,21 @@
 
 // Apply replaces the configuration in force if c has a higher version, and reports
 // whether it did.
-func (t *Table) Apply(c *Configuration) bool {
+func (t *Table) Apply(now instant.Instant, c *Configuration) bool {
 	if c.Version <= t.version {
 		return false
 	}
+	if t.version == 0 {
+		t.historySince = now
+	}
 	t.version, t.idleTimeout = c.Version, c.IdleTimeout
 	previous := t.routes
 	t.routes = make(map[flow.Endpoint]*Route, len(c.Routes))
 	services := make(map[string]bool)
 	for i := range c.Routes {
-		c.Routes[i].addFormerServices(previous[c.Routes[i].Address])
+		if !c.Routes[i].addFormerServices(previous[c.Routes[i].Address]) {
+			t.historySince = now
+		}
 		t.routes[c.Routes[i].Address] = &c.Routes[i]
 		for _, s := range c.Routes[i].Shares {
 			services[s.Service] = true
@@ -160,6 +174,26 @@
 	return true
 }
 
+// HasHistory reports whether the table has recorded the services of all routes for at
+// least the maximum lifetime of a flow, so that a route lists all that may hold its flows.
+func (t *Table) HasHistory(now instant.Instant) bool {
+	return now.Sub(t.historySince) >= flow.MaxLifetime
+}
+
+// RecordService records that a service holds an open flow of an address. If the route
+// does not name it, a version that this table has not seen did.
+func (t *Table) RecordService(now instant.Instant, a flow.Endpoint, service string) {
+	r := t.routes[a]
+	if r == nil || r.HasService(service) {
+		return
+	}
+	r.FormerServices = append([]string{service}, r.FormerServices...)
+	if len(r.FormerServices) > maxFormerServices {
+		r.FormerServices = r.FormerServices[:maxFormerServices]
+		t.historySince = now
+	}
+}
+
 // Lookup returns the route of an address, nil if there is none. known is false if no
 // configuration is in force.
 func (t *Table) Lookup(a flow.Endpoint) (r *Route, known bool) {
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -128,7 +128,7 @@
 func (c *Core) probe(now instant.Instant, to flow.IP, m *message.Carried) {
 	c.sendPacket(now, to, &message.Carried{
 		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
-		TimeoutMillis: m.TimeoutMillis, Others: m.Others,
+		TimeoutMillis: m.TimeoutMillis, Others: m.Others, Unnamed: m.Unnamed, OthersIncomplete: m.OthersIncomplete, KnownOnly: m.KnownOnly,
 	}, message.Step_StepProbe)
 }
 
@@ -149,6 +149,10 @@
 	if c.searchNextService(now, id, s) {
 		return
 	}
+	if s.LastPacket.GetOthersIncomplete() {
+		c.LogNotable("OwnerNotFound", "Flow", id, "Reason", "ServicesUnknown", "Denials", s.Denials())
+		return
+	}
 	c.resetFlow(id, s.LastAck, "AllUpstreamsDenied", "Denials", s.Denials(), "Took", now.Sub(s.StartedAt))
 }
 
@@ -160,16 +164,25 @@
 // searchNextService passes a search to the next service that may hold the flow and
 // reports whether there is one.
 func (c *Core) searchNextService(now instant.Instant, id flow.ID, s *lookup.Search) bool {
-	for i, service := range s.LastPacket.GetOthers() {
+	named, unnamed := s.LastPacket.GetOthers(), s.LastPacket.GetUnnamed()
+	for len(named)+len(unnamed) > 0 {
+		var service string
+		knownOnly := len(named) == 0
+		if knownOnly {
+			service, unnamed = unnamed[0], unnamed[1:]
+		} else {
+			service, named = named[0], named[1:]
+		}
 		home, ok := c.Members.Home(now, service, s.LastPacket.DataCentre, id.Hash())
 		if !ok {
 			continue
 		}
-		c.LogNotable("SearchHandedOn", "Flow", id, "Service", service, "Home", home, "Denials", s.Denials())
+		c.LogNotable("SearchHandedOn", "Flow", id, "Service", service, "Named", !knownOnly, "Home", home, "Denials", s.Denials())
 		for _, m := range append([]*message.Carried{s.LastPacket}, s.TakePackets()...) {
 			c.sendPacket(now, home, &message.Carried{
 				Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre,
-				TimeoutMillis: m.TimeoutMillis, Others: s.LastPacket.Others[i+1:],
+				TimeoutMillis: m.TimeoutMillis, Others: named, Unnamed: unnamed,
+				OthersIncomplete: s.LastPacket.OthersIncomplete, KnownOnly: knownOnly,
 			}, message.Step_StepHome)
 		}
 		return true
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -12,7 +12,7 @@
 )
 
 func (c *Core) recordRoute(f *flowtable.Flow, m *message.Carried) {
-	f.OtherServices = m.Others
+	f.OtherServices, f.UnnamedServices, f.OthersIncomplete = m.Others, m.Unnamed, m.OthersIncomplete
 	f.Balancer, f.DataCentre, f.Timeout = flow.IP(m.Balancer), m.DataCentre, time.Duration(m.TimeoutMillis)*time.Millisecond
 }
 
@@ -29,7 +29,7 @@
 		c.returnToHome(now, p, m)
 		return
 	}
-	if c.state == message.State_StateGone {
+	if c.state == message.State_StateGone || f == nil && m.KnownOnly {
 		c.returnToHome(now, p, m)
 		return
 	}
@@ -79,12 +79,21 @@
 		c.sendDenial(now, from, p.Flow)
 		return
 	}
-	if f != nil && f.Phase >= flowtable.Accepted {
+	switch {
+	case f != nil && f.Phase >= flowtable.Accepted:
 		c.answerProbe(now, f, from)
 		c.handleAsOwner(now, p, m)
-		return
+	case !m.KnownOnly:
+		c.deliverFlowPacket(now, p, m, from)
+	case f == nil && c.knowsAllFlows(now):
+		c.sendDenial(now, from, p.Flow)
 	}
-	c.deliverFlowPacket(now, p, m, from)
+}
+
+// knowsAllFlows reports whether the table contains all flows of the upstream: the upstream
+// started after this process, or this process is older than any flow.
+func (c *Core) knowsAllFlows(now instant.Instant) bool {
+	return c.upstream.startedLater || now.Sub(c.Started) >= flow.MaxLifetime
 }
 
 // answerProbe sends the claim of a flow to the agent that probed for it.
@@ -192,7 +201,8 @@
 	f := c.flows.Get(p.Flow)
 	m := &message.Carried{Packet: p.Bytes, Service: c.Service, DataCentre: c.DataCentre}
 	if f != nil {
-		m.Balancer, m.DataCentre, m.Excluded, m.Others = uint32(f.Balancer), f.DataCentre, f.Excluded, f.OtherServices
+		m.Balancer, m.DataCentre, m.Excluded = uint32(f.Balancer), f.DataCentre, f.Excluded
+		m.Others, m.Unnamed, m.OthersIncomplete = f.OtherServices, f.UnnamedServices, f.OthersIncomplete
 	}
 	switch {
 	case p.OpensFlow():
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -85,6 +85,12 @@
 	// absentHeartbeats is the number of heartbeat intervals without any packet or
 	// heartbeat after which a newly started agent considers its upstream absent.
 	absentHeartbeats = 3
+	// startTolerance is how long before the agent an upstream may have started and still
+	// have met no earlier agent: less than the time in which a process is restarted.
+	startTolerance = 50 * time.Millisecond
+	// maxStartSequence is the highest sequence of the first heartbeat heard of an upstream
+	// that has just started.
+	maxStartSequence = 2
 	// maxTickGap limits how much of the time between two ticks counts as listening
 	// time: a process resumed after a pause still has unread heartbeats.
 	maxTickGap = 2 * TickInterval
@@ -97,8 +103,9 @@
 	DataCentre  string
 	Incarnation uint64
 	Codec       flow.Codec
-	// Started is when the process started.
-	Started instant.Instant
+	// Started is when the process started, StartedMillis the same in Unix milliseconds.
+	Started       instant.Instant
+	StartedMillis int64
 	// HeartbeatEvery is the interval of the upstream's heartbeats, 0 if unknown.
 	HeartbeatEvery time.Duration
 }
@@ -142,7 +149,9 @@
 	openingPendingSince, dataPendingSince instant.Instant
 	openingPending, dataPending           bool
 	coldUntil                             instant.Instant
-	hasLeft                               bool
+	// startedLater is set if the upstream started after this process.
+	startedLater bool
+	hasLeft      bool
 	// absent is set if the upstream has sent nothing since the process started, and
 	// either the previous process saw it leave or heartbeats are overdue; it then holds
 	// no flows. listenTime is how long the process has listened.
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -29,6 +29,9 @@
 		return false
 	}
 	replaced := c.upstream.hasHeartbeat && h.Born > old.Born
+	if replaced || !c.upstream.hasHeartbeat && h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds() {
+		c.upstream.startedLater = true
+	}
 	c.upstream.Heartbeat, c.upstream.hasHeartbeat = h, true
 	c.flows.SetSlots(c.slots())
 	c.upstream.lastHeartbeat = now
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -21,7 +21,7 @@
 		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec})
 	} else {
 		tick = serving.TickInterval
-		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, HeartbeatEvery: heartbeatInterval})
+		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval})
 		if w.Sample != nil {
 			p.Agent.Sample = w.Sample
 		}
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -262,3 +262,52 @@
 	}
 	qt.Assert(t, run(), qt.DeepEquals, run())
 }
+
+// TestOpenFlowsSurviveBalancersThatMissedARoute guards against resets of open flows by
+// processes that do not know the services that an address had before: an address moves to
+// another service, then balancers restart, some or all of them, and read only the newest
+// configuration. Agents restart too, so that homes have to search for the owners.
+func TestOpenFlowsSurviveBalancersThatMissedARoute(t *testing.T) {
+	for _, restarted := range []int{1, 6} {
+		t.Run(fmt.Sprint(restarted), func(t *testing.T) {
+			cfg := Registro(31)
+			n := countEvents(&cfg)
+			w := New(cfg)
+			w.At(4*time.Second, func() { w.Configure(Address(0), routes.Share{Service: "recuento", Weight: 1}) })
+			w.At(6*time.Second, func() {
+				for _, p := range w.Balancers[:restarted] {
+					w.Restart(p, 300*time.Millisecond)
+				}
+				for _, p := range w.Agents {
+					w.Restart(p, 200*time.Millisecond)
+				}
+			})
+			w.Run(10 * time.Second)
+			qt.Assert(t, w.Violations, qt.HasLen, 0)
+			qt.Assert(t, n["SearchHandedOn"] > 0, qt.IsTrue, qt.Commentf("%v", n))
+		})
+	}
+}
+
+// TestOpenFlowsSurviveManyMovesOfARoute guards against former services that are forgotten
+// while flows are still open there: an address moves through more services than a route
+// remembers, and the agents then lose their tables.
+func TestOpenFlowsSurviveManyMovesOfARoute(t *testing.T) {
+	cfg := Registro(32)
+	for i := range 6 {
+		cfg.Services = append(cfg.Services, Service{fmt.Sprintf("extra-%d", i), 1, 4, 16})
+	}
+	w := New(cfg)
+	for i := range 6 {
+		w.At(4*time.Second+time.Duration(i)*2*time.Second, func() {
+			w.Configure(Address(0), routes.Share{Service: fmt.Sprintf("extra-%d", i), Weight: 1})
+		})
+	}
+	w.At(16500*time.Millisecond, func() {
+		for _, p := range w.Agents {
+			w.Restart(p, 200*time.Millisecond)
+		}
+	})
+	w.Run(20 * time.Second)
+	qt.Assert(t, w.Violations, qt.HasLen, 0)
+}
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -14,8 +14,10 @@
 // take longer by warmUpSlowdown.
 const (
 	heartbeatInterval = 1200 * time.Millisecond
-	warmUpTime        = 2 * time.Second
-	warmUpSlowdown    = 1.6
+	// firstHeartbeatDelay is the time from the start of an upstream to its first heartbeat.
+	firstHeartbeatDelay = 10 * time.Millisecond
+	warmUpTime          = 2 * time.Second
+	warmUpSlowdown      = 1.6
 )
 
 type upstreamFlow struct {
@@ -63,7 +65,8 @@
 	u.starts++
 	u.alive, u.bouncesPackets, u.draining, u.startedAt, u.heartbeatSequence = true, false, false, u.w.now, 0
 	u.flows, u.busySlots, u.queued = make(map[flow.ID]*upstreamFlow), 0, nil
-	u.heartbeatLoop(u.starts)
+	start := u.starts
+	u.w.after(firstHeartbeatDelay, func() { u.heartbeatLoop(start) })
 }
 
 // CrashVisibly stops the upstream; its instance bounces packets for it.
@@ -110,7 +113,7 @@
 func (u *Upstream) heartbeat() {
 	u.heartbeatSequence++
 	h := serving.Heartbeat{
-		Upstream: u.name(), Service: u.Name, Born: int64(u.startedAt), Sequence: u.heartbeatSequence, Draining: u.draining, Slots: u.Slots,
+		Upstream: u.name(), Service: u.Name, Born: time.Duration(u.startedAt).Milliseconds(), Sequence: u.heartbeatSequence, Draining: u.draining, Slots: u.Slots,
 		ColdFor: max(0, warmUpTime-u.w.now.Sub(u.startedAt)),
 	}
 	u.w.dispatch(u.p, func() {
