--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -107,8 +107,11 @@
 	busy, awaitsFirstRequest bool
 	// requestedAt is when the request in progress began; hadFreeSlot is set if a slot was
 	// free then.
-	requestedAt                      instant.Instant
-	hadFreeSlot                      bool
+	requestedAt instant.Instant
+	hadFreeSlot bool
+	// slowdown is how many times longer than usual the request takes at an upstream that
+	// has just started.
+	slowdown                         float64
 	callerFinished, upstreamFinished bool
 	// Requests counts the requests seen.
 	Requests int
@@ -149,7 +152,10 @@
 	awaitingCount int
 	awaitingQueue []*Flow
 	slots         int
+	slowdown      float64
 	serviceTime   time.Duration
+	// served counts the requests that serviceTime is based on.
+	served int
 	// openingRTT is the moving average of the time from a first packet to the first
 	// request.
 	openingRTT time.Duration
@@ -157,13 +163,17 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{OnAnswer: func(time.Duration) {}, flows: make(map[flow.ID]*Flow), slots: 1, serviceTime: defaultServiceTime, openingRTT: defaultOpeningRTT}
+	return &Table{OnAnswer: func(time.Duration) {}, flows: make(map[flow.ID]*Flow), slots: 1, slowdown: 1, serviceTime: defaultServiceTime, openingRTT: defaultOpeningRTT}
 }
 
 // SetSlots sets the number of requests that the upstream runs concurrently, at least 1.
 func (t *Table) SetSlots(n int) { t.slots = max(n, 1) }
 
-// ServiceTime returns the average duration of a request that finds a free slot.
+// SetSlowdown sets how many times longer than usual requests take from now on.
+func (t *Table) SetSlowdown(factor float64) { t.slowdown = factor }
+
+// ServiceTime returns the average duration of a request that finds a free slot, without
+// slowdown.
 func (t *Table) ServiceTime() time.Duration { return t.serviceTime }
 
 // InSystem returns the number of requests that run, are queued or are expected as the
@@ -289,7 +299,7 @@
 	f.LastAck = p.AckSeq
 	if f.recordNewData(p) && !f.busy && t.flows[f.ID] == f && f.Phase >= Accepted {
 		f.Requests++
-		f.requestedAt, f.hadFreeSlot = now, t.busy < t.slots
+		f.requestedAt, f.hadFreeSlot, f.slowdown = now, t.busy < t.slots, t.slowdown
 		if f.awaitsFirstRequest {
 			t.openingRTT += time.Duration(smoothingFactor * float64(now.Sub(f.StartedAt)-t.openingRTT))
 		}
@@ -319,7 +329,7 @@
 	if p.Len > 0 && f.busy {
 		t.OnAnswer(now.Sub(f.requestedAt))
 		if f.hadFreeSlot {
-			t.serviceTime += time.Duration(smoothingFactor * float64(now.Sub(f.requestedAt)-t.serviceTime))
+			t.recordServiceTime(time.Duration(float64(now.Sub(f.requestedAt)) / f.slowdown))
 		}
 		t.setBusy(f, false)
 	}
@@ -332,6 +342,14 @@
 	return f, newlyHeld
 }
 
+// recordServiceTime updates the average service time. Early observations weigh more, so
+// that a new process does not admit too much by the initial estimate.
+func (t *Table) recordServiceTime(d time.Duration) {
+	t.served++
+	weight := max(smoothingFactor, 1/float64(t.served+1))
+	t.serviceTime += time.Duration(weight * float64(d-t.serviceTime))
+}
+
 // Expire removes idle flows and ends overdue requests.
 func (t *Table) Expire(now instant.Instant) {
 	for _, f := range t.flows {
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -193,7 +193,9 @@
 		}
 		delete(c.hints, p.Flow)
 	}
-	if !p.OpensFlow() {
+	if p.OpensFlow() {
+		m.Alternatives = r.Alternatives(service)
+	} else {
 		c.setOtherServices(now, m, r)
 	}
 	home, ok := c.Members.Home(now, service, c.DataCentre, hash)
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -88,6 +88,17 @@
 	return append(out, r.FormerServices...)
 }
 
+// Alternatives lists the services other than one that receive new flows.
+func (r *Route) Alternatives(service string) []string {
+	var out []string
+	for _, s := range r.Shares {
+		if s.Service != service && s.Weight > 0 {
+			out = append(out, s.Service)
+		}
+	}
+	return out
+}
+
 // HasService reports whether a service is a current or former one of the route, so
 // that it may hold open flows.
 func (r *Route) HasService(service string) bool { return slices.Contains(r.Services(), service) }
--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -60,7 +60,7 @@
 		return
 	}
 	e.Carried.WaitedMillis += uint32(now.Sub(e.ArrivedAt) / time.Millisecond)
-	if len(e.Carried.Excluded) < maxPlacements && c.othersLessLoaded(now, p, e.Carried) {
+	if len(e.Carried.Excluded) < maxPlacements && (len(e.Carried.Alternatives) > 0 || c.othersLessLoaded(now, p, e.Carried)) {
 		c.redirect(now, p, e.Carried)
 		return
 	}
@@ -78,11 +78,16 @@
 
 // upstreamLoad returns the upstream's load for the wait queue.
 func (c *Core) upstreamLoad(now instant.Instant) admission.UpstreamLoad {
-	serviceTime := c.flows.ServiceTime()
+	serviceTime := time.Duration(c.slowdown(now) * float64(c.flows.ServiceTime()))
+	return admission.UpstreamLoad{Slots: c.slots(), InSystem: c.flows.InSystem(now), ServiceTime: serviceTime}
+}
+
+// slowdown returns how many times longer than usual requests take at the upstream now.
+func (c *Core) slowdown(now instant.Instant) float64 {
 	if c.upstream.coldUntil > now {
-		serviceTime = time.Duration(load.ColdFactor * float64(serviceTime))
+		return load.ColdFactor
 	}
-	return admission.UpstreamLoad{Slots: c.slots(), InSystem: c.flows.InSystem(now), ServiceTime: serviceTime}
+	return 1
 }
 
 func (c *Core) slots() int {
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -42,6 +42,7 @@
 // deliverFlowPacket delivers a packet that does not open a flow. A non-zero prober is
 // sent a claim or denial once the upstream responds.
 func (c *Core) deliverFlowPacket(now instant.Instant, p flow.Packet, m *message.Carried, prober flow.IP) {
+	c.flows.SetSlowdown(c.slowdown(now))
 	f := c.flows.RecordCallerPacket(now, p)
 	c.recordRoute(f, m)
 	if prober != 0 {
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -80,6 +80,10 @@
 	// minRedirectGain is the reduction in expected wait, in request durations, that
 	// justifies a redirect: more than the extra hops and outdated load reports cost.
 	minRedirectGain = 1
+	// fullCost is the expected wait, in request durations, at an upstream without a free
+	// slot. minPassOnGain is the reduction in expected wait that justifies another service.
+	fullCost      = 1
+	minPassOnGain = 0.5
 	// maxClaimsPerTick limits the claims sent to new homes per tick.
 	maxClaimsPerTick = 200
 	// absentHeartbeats is the number of heartbeat intervals without any packet or
@@ -126,7 +130,7 @@
 
 // Counts holds event counters since the start of the process.
 type Counts struct {
-	Delivered, Replied, Bounced, Placed, Redirected, Waited, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
+	Delivered, Replied, Bounced, Placed, Redirected, PassedOn, Waited, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
