--- a/internal/standin/relay/fleets.go
+++ b/internal/standin/relay/fleets.go
@@ -38,6 +38,20 @@
 	return cfg
 }
 
+// Kitambaa returns a fleet with long requests relative to their aims: 10 upstreams of two
+// services with 7 slots each. All callers but those of sheets keep flows open.
+func Kitambaa(seed uint64) Config {
+	cfg := Registro(seed)
+	cfg.CrossDataCentreDelay, cfg.CallerDelay = 4500*time.Microsecond, time.Millisecond
+	cfg.Services = []Service{{"fold-studio", 7, 7, 28}, {"pattern-desk", 3, 7, 28}}
+	cfg.Callers = []Kind{
+		{Name: "Guide", Service: 0, Callers: 90, Rate: constantRate(1.1), Persistent: true, Idempotent: true, ServiceTime: 55 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 4 * time.Second, Value: 1, LateValue: 0.3, Retries: 2},
+		{Name: "Confirm", Service: 0, Callers: 90, Rate: constantRate(0.3), Persistent: true, ServiceTime: 72 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 5 * time.Second, Value: 2, LateValue: 0.6, Retries: 2},
+		{Name: "Sheet", Service: 1, Callers: 20, Rate: constantRate(0.4), Idempotent: true, ServiceTime: 5 * time.Millisecond, Aim: 500 * time.Millisecond, Deadline: 8 * time.Second, Value: 1, LateValue: 0.3, Retries: 2},
+	}
+	return cfg
+}
+
 // Scale multiplies the request rates of all kinds by a factor.
 func (cfg *Config) Scale(factor float64) {
 	for i := range cfg.Callers {
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -30,6 +30,17 @@
 	w.after(storeLatency, func() { w.refreshMembership(p, p.startCount) })
 }
 
+// Stop announces the planned stop of a process, which goes on until it is killed.
+func (w *World) Stop(p *Process) {
+	w.dispatch(p, func() {
+		if p.Balancer != nil {
+			p.Balancer.Stop(w.now)
+		} else {
+			p.Agent.Stop(w.now)
+		}
+	})
+}
+
 // Kill stops a process at once.
 func (w *World) Kill(p *Process) {
 	p.Balancer, p.Agent = nil, nil
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -54,10 +54,12 @@
 	// SynsReceived counts SYN packets, retransmissions included.
 	SynsReceived    int
 	startedRequests map[uint32]bool
+	// answered holds the requests whose answer has been sent.
+	answered map[uint32]bool
 }
 
 func newUpstream(w *World, p *Process, s Service) *Upstream {
-	return &Upstream{Service: s, w: w, p: p, startedRequests: make(map[uint32]bool)}
+	return &Upstream{Service: s, w: w, p: p, startedRequests: make(map[uint32]bool), answered: make(map[uint32]bool)}
 }
 
 // Start starts the upstream under a new name, without its earlier state.
@@ -176,6 +178,9 @@
 		delete(u.flows, id)
 	case len(b) > headerLen && !u.startedRequests[h.Request]:
 		u.admit(upstreamRequest{id, h.Request, u.w.sampleServiceTime(h.Request)})
+	case len(b) > headerLen && u.answered[h.Request]:
+		// The caller has not received the answer.
+		u.answer(upstreamRequest{id: id, request: h.Request}, answerLen)
 	}
 }
 
@@ -216,6 +221,7 @@
 			return
 		}
 		u.busySlots--
+		u.answered[j.request] = true
 		u.answer(j, answerLen)
 		if len(u.queued) > 0 {
 			next := u.queued[0]
