--- a/internal/relay/explanation/explanation.go
+++ b/internal/relay/explanation/explanation.go
@@ -40,6 +40,7 @@
 	"UpstreamFull":         "More flows waited than could have their turn before callers give up. The request has not run. See what took the capacity: upstreams that started, drained or fell silent before.",
 	"NoUpstreamTakesFlows": "No upstream of the service took new flows. The request has not run. See UpstreamStateChanged of its agents.",
 	"UpstreamLostFlow":     "The upstream no longer held the flow: it had restarted. Whether the request ran is not known.",
+	"UpstreamReplaced":     "Another upstream had taken the place of the one that held the flow. Whether the request ran is not known.",
 	"AllUpstreamsDenied":   "No upstream held the flow: the one that did has restarted or left. Whether the request ran is not known.",
 	"UpstreamLeft":         "The upstream has left, and its flows ended with it.",
 	"FlowGivenUp":          "The caller gave up while its new flow waited for a full upstream. The request has not run.",
