--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -68,7 +68,7 @@
 		Process: p, upstreamConn: upstreamConn, done: make(chan struct{}),
 		core: serving.New(serving.Config{
 			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
-			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery,
+			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime,
 		}),
 	}
 	// The lock holds back messages that arrive before the agent is complete.
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -65,7 +65,7 @@
 	p.SetCallerConn(callerConn)
 	b := &Balancer{
 		Process: p, callerConn: callerConn, done: make(chan struct{}),
-		core: forwarding.New(forwarding.Config{Self: p.Self(), DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec}),
+		core: forwarding.New(forwarding.Config{Self: p.Self(), DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec, FlowLifetime: s.FlowLifetime}),
 	}
 	// The lock holds back messages that arrive before the balancer is complete.
 	b.mu.Lock()
--- a/internal/relay/flow/flow.go
+++ b/internal/relay/flow/flow.go
@@ -138,8 +138,9 @@
 // firstRetransmissionDelay is when callers first retransmit the packet that opens a flow.
 const firstRetransmissionDelay = 200 * time.Millisecond
 
-// MaxLifetime is how long a flow may stay open; older flows may be discarded.
-const MaxLifetime = 60 * time.Second
+// DefaultLifetime is how long a flow may stay open if the settings do not say; older flows
+// may be discarded.
+const DefaultLifetime = 60 * time.Second
 
 // OpenTimeout is how long callers try to open a flow before they give up.
 const OpenTimeout = 1400 * time.Millisecond
--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -156,8 +156,6 @@
 	slots         int
 	slowdown      float64
 	serviceTime   time.Duration
-	// served counts the requests that serviceTime is based on.
-	served int
 	// openingRTT is the moving average of the time from a first packet to the first
 	// request.
 	openingRTT time.Duration
@@ -334,7 +332,8 @@
 	if p.Len > 0 && f.busy {
 		t.OnAnswer(now.Sub(f.requestedAt))
 		if f.hadFreeSlot {
-			t.recordServiceTime(time.Duration(float64(now.Sub(f.requestedAt)) / f.slowdown))
+			took := time.Duration(float64(now.Sub(f.requestedAt)) / f.slowdown)
+			t.serviceTime += time.Duration(smoothingFactor * float64(took-t.serviceTime))
 		}
 		t.setBusy(f, false)
 	}
@@ -347,14 +346,6 @@
 	return f, newlyHeld
 }
 
-// recordServiceTime updates the average service time. Early observations weigh more, so
-// that a new process does not admit too much by the initial estimate.
-func (t *Table) recordServiceTime(d time.Duration) {
-	t.served++
-	weight := max(smoothingFactor, 1/float64(t.served+1))
-	t.serviceTime += time.Duration(weight * float64(d-t.serviceTime))
-}
-
 // Expire removes idle flows and ends overdue requests.
 func (t *Table) Expire(now instant.Instant) {
 	for _, f := range t.flows {
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -67,6 +67,8 @@
 	DataCentre  string
 	Incarnation uint64
 	Codec       flow.Codec
+	// FlowLifetime is how long a flow may stay open.
+	FlowLifetime time.Duration
 }
 
 // Counts holds event counters since the start of the process.
@@ -193,9 +195,7 @@
 		}
 		delete(c.hints, p.Flow)
 	}
-	if p.OpensFlow() {
-		m.Alternatives = r.Alternatives(service)
-	} else {
+	if !p.OpensFlow() {
 		c.setOtherServices(now, m, r)
 	}
 	home, ok := c.Members.Home(now, service, c.DataCentre, hash)
@@ -218,7 +218,7 @@
 	m.Others = r.OtherServices(m.Service)
 	all := c.Members.Services()
 	if len(all) > maxSearchedServices {
-		m.OthersIncomplete = !c.Routes.HasHistory(now)
+		m.OthersIncomplete = !c.Routes.HasHistory(now, c.FlowLifetime)
 		return
 	}
 	for _, s := range all {
--- a/internal/relay/lookup/lookup.go
+++ b/internal/relay/lookup/lookup.go
@@ -36,7 +36,7 @@
 // Limits of the table.
 const (
 	// OwnerIdleTimeout is how long an unused owner is kept.
-	OwnerIdleTimeout = flow.MaxLifetime
+	OwnerIdleTimeout = flow.DefaultLifetime
 	// SearchIdleTimeout is how long a search is kept after its last packet: longer than
 	// the callers' maximum retransmission interval.
 	SearchIdleTimeout = 2 * time.Second
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -90,17 +90,6 @@
 	return append(out, r.FormerServices...)
 }
 
-// Alternatives lists the services other than one that receive new flows.
-func (r *Route) Alternatives(service string) []string {
-	var out []string
-	for _, s := range r.Shares {
-		if s.Service != service && s.Weight > 0 {
-			out = append(out, s.Service)
-		}
-	}
-	return out
-}
-
 // HasService reports whether a service is a current or former one of the route, so
 // that it may hold open flows.
 func (r *Route) HasService(service string) bool { return slices.Contains(r.Services(), service) }
@@ -187,9 +176,9 @@
 }
 
 // HasHistory reports whether the table has recorded the services of all routes for at
-// least the maximum lifetime of a flow, so that a route lists all that may hold its flows.
-func (t *Table) HasHistory(now instant.Instant) bool {
-	return now.Sub(t.historySince) >= flow.MaxLifetime
+// least the lifetime of a flow, so that a route lists all that may hold its flows.
+func (t *Table) HasHistory(now instant.Instant, lifetime time.Duration) bool {
+	return now.Sub(t.historySince) >= lifetime
 }
 
 // RecordService records that a service holds an open flow of an address. If the route
--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -60,7 +60,7 @@
 		return
 	}
 	e.Carried.WaitedMillis += uint32(now.Sub(e.ArrivedAt) / time.Millisecond)
-	if len(e.Carried.Excluded) < maxPlacements && (len(e.Carried.Alternatives) > 0 || c.othersLessLoaded(now, p, e.Carried)) {
+	if len(e.Carried.Excluded) < maxPlacements && c.othersLessLoaded(now, p, e.Carried) {
 		c.redirect(now, p, e.Carried)
 		return
 	}
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -1,8 +1,6 @@
 package serving
 
 import (
-	"slices"
-
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
@@ -27,13 +25,6 @@
 		c.sendPacket(now, owner, m, message.Step_StepOwner)
 		return
 	}
-	if home, service, ok := c.passedOnTo(now, p.Flow, m.Others); ok {
-		// If that service does not hold the flow, the search comes back to this one.
-		m.Others = append(slices.DeleteFunc(m.Others, func(s string) bool { return s == service }), c.Service)
-		m.Service = service
-		c.sendPacket(now, home, m, message.Step_StepHome)
-		return
-	}
 	c.searchOwner(now, p, m)
 }
 
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -94,7 +94,7 @@
 // knowsAllFlows reports whether the table contains all flows of the upstream: the upstream
 // started after this process, or this process is older than any flow.
 func (c *Core) knowsAllFlows(now instant.Instant) bool {
-	return c.upstream.startedLater || now.Sub(c.Started) >= flow.MaxLifetime
+	return c.upstream.startedLater || now.Sub(c.Started) >= c.FlowLifetime
 }
 
 // answerProbe sends the claim of a flow to the agent that probed for it.
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -11,14 +11,9 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
 
-// handleFirstPacket places a new flow. A retransmitted first packet goes to the agent or
-// service chosen before, unless that agent no longer accepts new flows.
+// handleFirstPacket places a new flow. A retransmitted first packet goes to the agent
+// chosen before, unless that agent no longer accepts new flows.
 func (c *Core) handleFirstPacket(now instant.Instant, p flow.Packet, m *message.Carried) {
-	if home, service, ok := c.passedOnTo(now, p.Flow, m.Alternatives); ok {
-		m.Service, m.Alternatives = service, nil
-		c.sendPacket(now, home, m, message.Step_StepHome)
-		return
-	}
 	owner, ok := c.owners.Owner(now, p.Flow)
 	if ok && c.acceptsNewFlows(now, owner) && !slices.Contains(m.Excluded, uint32(owner)) {
 		c.sendPacket(now, owner, m, message.Step_StepPlace)
@@ -40,9 +35,6 @@
 func (c *Core) place(now instant.Instant, p flow.Packet, m *message.Carried) {
 	candidates := c.Sample(p.Flow.Hash(), c.candidates(now, m))
 	to, ok := c.loads.Choose(candidates)
-	if c.placeAtOtherService(now, p, m, to, ok) {
-		return
-	}
 	if !ok || len(m.Excluded) >= maxPlacements {
 		c.refuse(now, p, m, "NoUpstreamTakesFlows")
 		return
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -5,8 +5,8 @@
 // flow and looks up the owner of an open one; see package lookup.
 //
 // The agent resets a flow only if the flow is known to be lost: the upstream bounced
-// a packet of a flow that was open there, the upstream left, or all agents of the
-// services that may hold the flow denied it. When a new upstream replaces another, the
+// a packet of a flow that was open there, the upstream left or was replaced, or all agents
+// of the services that may hold the flow denied it. When a new upstream replaces another, the
 // packets of requests in progress are redelivered, and the flows whose packets bounce
 // are reset. New flows that no upstream can accept are reset as well, unless they may
 // be open elsewhere. In all other cases the agent sends nothing, and the caller's next
@@ -80,10 +80,6 @@
 	// minRedirectGain is the reduction in expected wait, in request durations, that
 	// justifies a redirect: more than the extra hops and outdated load reports cost.
 	minRedirectGain = 1
-	// fullCost is the expected wait, in request durations, at an upstream without a free
-	// slot. minPassOnGain is the reduction in expected wait that justifies another service.
-	fullCost      = 1
-	minPassOnGain = 0.5
 	// maxClaimsPerTick limits the claims sent to new homes per tick.
 	maxClaimsPerTick = 200
 	// absentHeartbeats is the number of heartbeat intervals without any packet or
@@ -112,6 +108,8 @@
 	StartedMillis int64
 	// HeartbeatEvery is the interval of the upstream's heartbeats, 0 if unknown.
 	HeartbeatEvery time.Duration
+	// FlowLifetime is how long a flow may stay open.
+	FlowLifetime time.Duration
 }
 
 // Heartbeat is an upstream's report about itself.
@@ -130,7 +128,7 @@
 
 // Counts holds event counters since the start of the process.
 type Counts struct {
-	Delivered, Replied, Bounced, Placed, Redirected, PassedOn, Waited, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
+	Delivered, Replied, Bounced, Placed, Redirected, Waited, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -40,6 +40,8 @@
 	Store netip.AddrPort
 	// HeartbeatEvery is the interval of the upstream's heartbeats, 0 if unknown.
 	HeartbeatEvery time.Duration
+	// FlowLifetime is how long a flow may stay open.
+	FlowLifetime time.Duration
 }
 
 // AddAgentProblems adds a problem for each missing setting that an agent requires.
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -18,10 +18,10 @@
 	p.Paused, p.backlog = false, nil
 	tick := forwarding.TickInterval
 	if p.Upstream == nil {
-		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec})
+		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, FlowLifetime: flow.DefaultLifetime})
 	} else {
 		tick = serving.TickInterval
-		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval})
+		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime})
 		if w.Sample != nil {
 			p.Agent.Sample = w.Sample
 		}
