--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -154,8 +154,9 @@
 	awaitingCount int
 	awaitingQueue []*Flow
 	slots         int
-	slowdown      float64
-	serviceTime   time.Duration
+	// slowdown is the factor set by SetSlowdown, at least 1.
+	slowdown    float64
+	serviceTime time.Duration
 	// openingRTT is the moving average of the time from a first packet to the first
 	// request.
 	openingRTT time.Duration
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -29,7 +29,7 @@
 		return false
 	}
 	replaced := c.upstream.hasHeartbeat && h.Born > old.Born
-	if replaced || !c.upstream.hasHeartbeat && h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds() {
+	if replaced || c.startedAfterAgent(h) {
 		c.upstream.startedLater = true
 	}
 	if replaced {
@@ -50,6 +50,13 @@
 	return true
 }
 
+// startedAfterAgent reports whether the first heartbeat heard shows that its upstream
+// started after this process, by its start time and by its low sequence, since clocks
+// may jump.
+func (c *Core) startedAfterAgent(h Heartbeat) bool {
+	return !c.upstream.hasHeartbeat && h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds()
+}
+
 // redeliverRequests redelivers the caller's last packet of each request in progress on a
 // flow that the upstream with the given start time accepted. Flows whose packet bounces
 // are reset; an upstream that still holds a flow receives a harmless duplicate.
