--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -142,12 +142,17 @@
 	if peer == nil {
 		return true
 	}
+	start := time.Now()
 	value, err := s.FetchFromPeer(ctx, *peer)
 	if err != nil {
-		s.Warn("ConfigurationUnfetched", "From", *peer, "Reason", err)
+		s.Warn("ConfigurationUnfetched", "From", *peer, "Took", time.Since(start), "Reason", err)
 		return false
 	}
-	return s.apply(value, "Peer")
+	c, ok := s.apply(value, "Peer")
+	if ok {
+		s.Info("ConfigurationFetched", "From", *peer, "Version", c.Version, "Took", time.Since(start))
+	}
+	return ok
 }
 
 func (s *Syncer) waitRetry(ctx context.Context) {
@@ -205,24 +210,24 @@
 	if kv.Key != s.Key || kv.Value == nil || kv.Revision <= s.decodedRevision {
 		return
 	}
-	if s.apply(kv.Value, source) {
+	if _, ok := s.apply(kv.Value, source); ok {
 		s.decodedRevision = kv.Revision
 	}
 }
 
-// apply decodes a value and passes it to Apply; it returns false if decoding fails.
-func (s *Syncer) apply(value []byte, source string) bool {
+// apply decodes a value and passes it to Apply; ok is false if decoding fails.
+func (s *Syncer) apply(value []byte, source string) (c *routes.Configuration, ok bool) {
 	c, problems, err := s.Decode(value)
 	if err != nil {
 		s.Error("ConfigurationUnreadable", "Source", source, "Reason", err)
-		return false
+		return nil, false
 	}
 	for _, p := range problems {
 		s.Warn("RouteUnreadable", "Version", c.Version, "Source", source, "Reason", p)
 	}
 	s.value.Store(&value)
 	s.Apply(c, source)
-	return true
+	return c, true
 }
 
 // waitWatchCheck waits until ShouldWatch is due again.
--- a/internal/relay/forwarding/configuration.go
+++ b/internal/relay/forwarding/configuration.go
@@ -41,12 +41,21 @@
 		}
 		return
 	}
+	c.LogStateChange("ConfigurationApplied", "Version", cfg.Version, "Before", previous, "Routes", len(cfg.Routes), "Source", source, "Reported", c.sinceNewerVersion(now))
 	c.newerVersionSince = 0
-	c.LogStateChange("ConfigurationApplied", "Version", cfg.Version, "Before", previous, "Routes", len(cfg.Routes), "Source", source)
 	c.nextReport = min(c.nextReport, now)
 	c.forwardQueued(now)
 }
 
+// sinceNewerVersion returns how long ago a member first reported a newer version than the
+// one in force, or "Never".
+func (c *Core) sinceNewerVersion(now instant.Instant) any {
+	if c.newerVersionSince == 0 {
+		return "Never"
+	}
+	return now.Sub(c.newerVersionSince)
+}
+
 // SetStoreHealth records whether a component of the process can reach the store. A
 // balancer that cannot reports StateSilent, so that another one watches in its place.
 func (c *Core) SetStoreHealth(now instant.Instant, component string, ok bool) {
