--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -2,7 +2,8 @@
 //
 // A Client counts its calls, applies a timeout to them, closes idle connections
 // after a failure, and distinguishes a write that did not take effect from one
-// whose outcome is unknown. A Gateway implements the protocol of the service: New
+// whose outcome is unknown. It repeats idempotent calls that take long on another
+// connection and waits for the first answer. A Gateway implements the protocol of the service: New
 // uses the JSON gateway of the etcd v3 API; NewWithGateway supports any other
 // service with compare-and-swap, leases and watches.
 //
@@ -127,7 +128,8 @@
 }
 
 // New returns a client of the etcd JSON gateway at the endpoints. The timeout
-// applies to each call except a watch.
+// applies to each call except a watch; reads and renewals are repeated after it, up to
+// maxAttempts times.
 func New(endpoints []netip.AddrPort, timeout time.Duration) *Client {
 	return NewWithGateway(etcdGateway(), endpoints, timeout)
 }
@@ -171,14 +173,19 @@
 // Read returns the keys of a range and the revision up to which they are
 // complete. Any failure is ErrUnavailable.
 func (c *Client) Read(ctx context.Context, r Range) ([]KV, Revision, error) {
-	c.Calls.Reads.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	kvs, rev, err := c.gateway.Range(ctx, c.Transport, r)
+	type page struct {
+		kvs []KV
+		rev Revision
+	}
+	p, err := hedge(ctx, c, func(ctx context.Context) (p page, err error) {
+		c.Calls.Reads.Add(1)
+		p.kvs, p.rev, err = c.gateway.Range(ctx, c.Transport, r)
+		return p, err
+	})
 	if err != nil {
 		return nil, 0, eris.Wrap(ErrUnavailable, c.recordFailure(err).Error())
 	}
-	return kvs, rev, nil
+	return p.kvs, p.rev, nil
 }
 
 // Commit writes all puts if all conditions hold, and reports whether they did.
@@ -212,10 +219,11 @@
 
 // KeepAlive renews a lease. It fails with ErrLeaseExpired if the lease has expired.
 func (c *Client) KeepAlive(ctx context.Context, id LeaseID) error {
-	c.Calls.Renewals.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	if err := c.gateway.KeepAlive(ctx, c.Transport, id); err != nil {
+	_, err := hedge(ctx, c, func(ctx context.Context) (struct{}, error) {
+		c.Calls.Renewals.Add(1)
+		return struct{}{}, c.gateway.KeepAlive(ctx, c.Transport, id)
+	})
+	if err != nil {
 		return classifyWriteError(c.recordFailure(err))
 	}
 	return nil
--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,8 @@
 	startupRetryMax = 120 * time.Millisecond
 	retryMin        = 100 * time.Millisecond
 	retryMax        = 800 * time.Millisecond
+	// fetchPatience is how long a fetch from a peer may take before the store is read too.
+	fetchPatience = 400 * time.Millisecond
 )
 
 // Config holds the key and the callbacks of a syncer. All fields are set.
@@ -61,16 +64,20 @@
 type Syncer struct {
 	Config
 	*eventlog.Logger
-	store           *store.Client
-	cancel          context.CancelFunc
-	done            chan struct{}
-	refreshRequests chan struct{}
+	store  *store.Client
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	// refreshRequests wakes the fetches from peers, readRequests makes the key due for a read.
+	refreshRequests, readRequests chan struct{}
 
 	// newerPeer is a balancer that has a newer version, nil if none is known; value is the
 	// last value that could be decoded.
 	newerPeer atomic.Pointer[netip.Addr]
 	value     atomic.Pointer[[]byte]
 
+	// applying serializes the decoding of values from the store and from peers.
+	applying sync.Mutex
+
 	storeFailing bool
 	retryDelay   time.Duration
 	// watchRevision is the revision at which the next watch begins. decodedRevision is
@@ -84,11 +91,9 @@
 // New returns a syncer that runs until Close.
 func New(cfg Config, st *store.Client, logger *eventlog.Logger) *Syncer {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Syncer{Config: cfg, Logger: logger, store: st, cancel: cancel, done: make(chan struct{}), refreshRequests: make(chan struct{}, 1)}
-	go func() {
-		defer close(s.done)
-		s.run(ctx)
-	}()
+	s := &Syncer{Config: cfg, Logger: logger, store: st, cancel: cancel, refreshRequests: make(chan struct{}, 1), readRequests: make(chan struct{}, 1)}
+	s.done.Go(func() { s.run(ctx) })
+	s.done.Go(func() { s.fetchFromPeers(ctx) })
 	return s
 }
 
@@ -103,8 +108,13 @@
 // Refresh requests a fetch from a peer that has a newer version.
 func (s *Syncer) Refresh(peer netip.Addr) {
 	s.newerPeer.Store(&peer)
+	notify(s.refreshRequests)
+}
+
+// notify sends a signal unless one is pending.
+func notify(signals chan struct{}) {
 	select {
-	case s.refreshRequests <- struct{}{}:
+	case signals <- struct{}{}:
 	default:
 	}
 }
@@ -112,14 +122,12 @@
 // Close stops the syncer.
 func (s *Syncer) Close() {
 	s.cancel()
-	<-s.done
+	s.done.Wait()
 }
 
+// run keeps the value in sync with the store.
 func (s *Syncer) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !s.fetchNewer(ctx) {
-			s.nextRead = time.Time{}
-		}
 		var err error
 		if !time.Now().Before(s.nextRead) {
 			err = s.readKey(ctx)
@@ -135,22 +143,35 @@
 	}
 }
 
-// fetchNewer applies the version of newerPeer if one is set; ok is false if the fetch
-// or the decoding failed.
-func (s *Syncer) fetchNewer(ctx context.Context) (ok bool) {
-	peer := s.newerPeer.Swap(nil)
-	if peer == nil {
-		return true
+// fetchFromPeers fetches the versions of newerPeer. It runs apart from the calls to the
+// store, so that neither holds back the other.
+func (s *Syncer) fetchFromPeers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.refreshRequests:
+		}
+		if peer := s.newerPeer.Swap(nil); peer != nil && !s.fetch(ctx, *peer) && ctx.Err() == nil {
+			notify(s.readRequests)
+		}
 	}
+}
+
+// fetch applies the version of a peer; ok is false if the fetch or the decoding failed.
+// After fetchPatience the store is read as well.
+func (s *Syncer) fetch(ctx context.Context, peer netip.Addr) (ok bool) {
 	start := time.Now()
-	value, err := s.FetchFromPeer(ctx, *peer)
+	slow := time.AfterFunc(fetchPatience, func() { notify(s.readRequests) })
+	defer slow.Stop()
+	value, err := s.FetchFromPeer(ctx, peer)
 	if err != nil {
-		s.Warn("ConfigurationUnfetched", "From", *peer, "Took", time.Since(start), "Reason", err)
+		s.Warn("ConfigurationUnfetched", "From", peer, "Took", time.Since(start), "Reason", err)
 		return false
 	}
 	c, ok := s.apply(value, "Peer")
 	if ok {
-		s.Info("ConfigurationFetched", "From", *peer, "Version", c.Version, "Took", time.Since(start))
+		s.Info("ConfigurationFetched", "From", peer, "Version", c.Version, "Took", time.Since(start))
 	}
 	return ok
 }
@@ -158,7 +179,6 @@
 func (s *Syncer) waitRetry(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-s.refreshRequests:
 	case <-time.After(s.nextDelay()):
 	}
 }
@@ -217,6 +237,8 @@
 
 // apply decodes a value and passes it to Apply; ok is false if decoding fails.
 func (s *Syncer) apply(value []byte, source string) (c *routes.Configuration, ok bool) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	c, problems, err := s.Decode(value)
 	if err != nil {
 		s.Error("ConfigurationUnreadable", "Source", source, "Reason", err)
@@ -238,34 +260,39 @@
 	}
 }
 
-// watch applies changes until the key is due for a read or Refresh is called.
+// watch applies changes until the key is due for a read.
 func (s *Syncer) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	var requests sync.WaitGroup
+	defer requests.Wait()
 	defer cancel()
-	go func() {
+	var readRequested atomic.Bool
+	requests.Go(func() {
 		select {
 		case <-ctx.Done():
-		case <-s.refreshRequests:
+		case <-s.readRequests:
+			readRequested.Store(true)
 			cancel()
 		}
-	}()
+	})
 	for time.Now().Before(s.nextRead) && ctx.Err() == nil {
 		if !s.ShouldWatch() {
 			s.waitWatchCheck(ctx)
 			continue
 		}
 		rev, err := s.store.Watch(ctx, s.Key, s.watchRevision, func(kv store.KV) { s.handleChange(kv, "Watch") })
-		if ctx.Err() != nil {
-			return nil
-		}
-		if eris.Is(err, store.ErrCompacted) {
+		switch {
+		case ctx.Err() != nil:
+		case eris.Is(err, store.ErrCompacted):
 			s.nextRead = time.Time{}
-			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return err
+		default:
+			s.watchRevision = max(s.watchRevision, rev)
 		}
-		s.watchRevision = max(s.watchRevision, rev)
+	}
+	if readRequested.Load() {
+		s.nextRead = time.Time{}
 	}
 	return nil
 }
--- a/internal/relay/configsync/syncer_test.go
+++ b/internal/relay/configsync/syncer_test.go
@@ -29,13 +29,14 @@
 	Store    *storage.Store
 	client   *store.Client
 	revision store.Revision
-	// peerValue is the version that the peer returns; it does not answer while this is
-	// empty.
-	peerValue string
 
-	mu      sync.Mutex
-	book    routes.Table
-	applied []routes.Version
+	mu sync.Mutex
+	// peerValue is the version that the peer returns after peerDelay; it does not answer
+	// while this is empty.
+	peerValue string
+	peerDelay time.Duration
+	book      routes.Table
+	applied   []routes.Version
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -71,17 +72,35 @@
 		},
 		ShouldWatch:   func() bool { return shouldWatch },
 		OnStoreHealth: func(bool) {},
-		FetchFromPeer: func(context.Context, netip.Addr) ([]byte, error) {
-			if f.peerValue == "" {
+		FetchFromPeer: func(ctx context.Context, _ netip.Addr) ([]byte, error) {
+			value, delay := f.peer()
+			select {
+			case <-ctx.Done():
+			case <-time.After(delay):
+			}
+			if value == "" {
 				return nil, errors.New("no answer")
 			}
-			return []byte(f.peerValue), nil
+			return []byte(value), nil
 		},
 	}, f.client, eventlog.New(io.Discard, eventlog.Info, 1))
 	f.t.Cleanup(s.Close)
 	return s
 }
 
+// setPeer sets the version that the peer returns from now on, and after which delay.
+func (f *fixture) setPeer(value string, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peerValue, f.peerDelay = value, delay
+}
+
+func (f *fixture) peer() (value string, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peerValue, f.peerDelay
+}
+
 func (f *fixture) version() routes.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -141,7 +160,7 @@
 	f.waitForVersion(3, time.Second)
 	reads := f.client.Calls.Reads.Load()
 	for v := 4; v < 30; v++ {
-		f.peerValue = strconv.Itoa(v)
+		f.setPeer(strconv.Itoa(v), 0)
 		syncer.Refresh(peer)
 		f.waitForVersion(routes.Version(v), time.Second)
 	}
@@ -161,13 +180,57 @@
 	f.waitForVersion(9, time.Second)
 }
 
+// TestSlowPeerDoesNotHoldBackTheStore guards against a version that is late because a
+// peer takes long, while the store would answer at once.
+func TestSlowPeerDoesNotHoldBackTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.put("3")
+	f.setPeer("9", 5*time.Second)
+	syncer := f.start(false)
+	f.waitForVersion(3, time.Second)
+	f.put("9")
+	syncer.Refresh(peer)
+	f.waitForVersion(9, 2*time.Second)
+}
+
+// TestSlowStoreDoesNotHoldBackPeers guards against a version that is late because calls to
+// the store take long, while a peer would give it at once.
+func TestSlowStoreDoesNotHoldBackPeers(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.put("3")
+	syncer := f.start(false)
+	f.waitForVersion(3, time.Second)
+	f.Store.SetFaults(storage.Faults{DelayMillis: 2000})
+	syncer.Refresh(peer)
+	time.Sleep(100 * time.Millisecond)
+	f.setPeer("9", 0)
+	syncer.Refresh(peer)
+	f.waitForVersion(9, 300*time.Millisecond)
+}
+
+// TestSlowAnswersDeliverConfigurations guards against a balancer that never gets a version
+// because each read takes longer than the timeout of a call.
+func TestSlowAnswersDeliverConfigurations(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.put("3")
+	syncer := f.start(false)
+	f.waitForVersion(3, time.Second)
+	f.put("9")
+	f.Store.SetFaults(storage.Faults{DelayMillis: 500})
+	syncer.Refresh(peer)
+	f.waitForVersion(9, 3*time.Second)
+}
+
 func TestFetchFromPeerWhileStoreUnavailable(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
 	f.put("3")
 	syncer := f.start(true)
 	f.waitForVersion(3, time.Second)
-	f.peerValue = "12"
+	f.setPeer("12", 0)
 	f.Store.SetFaults(storage.Faults{Down: true})
 	time.Sleep(300 * time.Millisecond)
 	syncer.Refresh(peer)
--- a/internal/relay/process/process.go
+++ b/internal/relay/process/process.go
@@ -32,9 +32,14 @@
 	"github.com/jaytack/jaytack/internal/relay/transport"
 )
 
-// StoreTimeout bounds a call to the store, which usually answers in milliseconds; a
-// call that takes longer is retried on another connection.
-const StoreTimeout = 400 * time.Millisecond
+const (
+	// StoreTimeout bounds a call to the store, which usually answers in milliseconds; a
+	// call that takes longer is retried on another connection.
+	StoreTimeout = 400 * time.Millisecond
+	// fetchTimeout bounds a fetch from a peer, which takes long if one of the two
+	// processes is short of processor time.
+	fetchTimeout = 1200 * time.Millisecond
+)
 
 // ErrListen reports an address that the process cannot listen on.
 var ErrListen = eris.New("cannot listen")
@@ -131,10 +136,9 @@
 // maxFetchBytes bounds a response of a peer: the store holds no larger value.
 const maxFetchBytes = 1 << 20
 
-// Fetch gets a path from a peer over HTTP within StoreTimeout. It fails with
-// ErrFetch.
+// Fetch gets a path from a peer over HTTP within fetchTimeout. It fails with ErrFetch.
 func Fetch(ctx context.Context, peer netip.AddrPort, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
 	if err != nil {
