--- a/internal/relay/action/action.go
+++ b/internal/relay/action/action.go
@@ -14,6 +14,7 @@
 import (
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/routes"
 )
 
 // Kind is the type of an action.
@@ -27,7 +28,7 @@
 	Deliver
 	// Reply sends Bytes to the caller of Flow.
 	Reply
-	// Refresh fetches the newer configuration that balancer To has.
+	// Refresh fetches Version or a newer configuration from balancer To, which has it.
 	Refresh
 )
 
@@ -38,6 +39,7 @@
 	Message *message.Envelope
 	Bytes   []byte
 	Flow    flow.ID
+	Version routes.Version
 }
 
 // Class determines how the rate of a log entry is limited.
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -162,7 +162,7 @@
 		case action.Reply:
 			b.Reply(next.Flow, next.Bytes)
 		case action.Refresh:
-			b.syncer.Refresh(next.To.Addr())
+			b.syncer.Refresh(next.To.Addr(), next.Version)
 		}
 	}
 	b.Log(entries)
--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	s := configsync.New(cfg, store, logger)
-//	s.Refresh(peer)
+//	s.Refresh(peer, version)
 //	s.Close()
 package configsync
 
@@ -60,7 +60,19 @@
 	FetchFromPeer func(ctx context.Context, from netip.Addr) ([]byte, error)
 }
 
-// Syncer keeps the latest value of one key.
+// reportedVersion is a version that a balancer has.
+type reportedVersion struct {
+	routes.Version
+	from netip.Addr
+}
+
+// decodedValue is a value with its version, 0 if there is none.
+type decodedValue struct {
+	version routes.Version
+	value   []byte
+}
+
+// Syncer keeps the value of one key that has the highest version.
 type Syncer struct {
 	Config
 	*eventlog.Logger
@@ -70,13 +82,13 @@
 	// refreshRequests wakes the fetches from peers, readRequests makes the key due for a read.
 	refreshRequests, readRequests chan struct{}
 
-	// newerPeer is a balancer that has a newer version, nil if none is known; value is the
-	// last value that could be decoded.
-	newerPeer atomic.Pointer[netip.Addr]
-	value     atomic.Pointer[[]byte]
+	// newerVersion is a version that a balancer has reported, nil if there is none.
+	newerVersion atomic.Pointer[reportedVersion]
 
-	// applying serializes the decoding of values from the store and from peers.
-	applying sync.Mutex
+	// mu guards latest, and serializes the decoding of values from the store and from
+	// peers.
+	mu     sync.Mutex
+	latest decodedValue
 
 	storeFailing bool
 	retryDelay   time.Duration
@@ -97,17 +109,23 @@
 	return s
 }
 
-// Value returns the last value that could be decoded, nil if there is none.
+// Value returns the value with the highest version, nil if there is none.
 func (s *Syncer) Value() []byte {
-	if v := s.value.Load(); v != nil {
-		return *v
-	}
-	return nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest.value
 }
 
-// Refresh requests a fetch from a peer that has a newer version.
-func (s *Syncer) Refresh(peer netip.Addr) {
-	s.newerPeer.Store(&peer)
+// version returns the highest version of a value, 0 if there is none.
+func (s *Syncer) version() routes.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest.version
+}
+
+// Refresh requests a fetch from a peer that has reported a newer version.
+func (s *Syncer) Refresh(peer netip.Addr, v routes.Version) {
+	s.newerVersion.Store(&reportedVersion{v, peer})
 	notify(s.refreshRequests)
 }
 
@@ -143,8 +161,8 @@
 	}
 }
 
-// fetchFromPeers fetches the versions of newerPeer. It runs apart from the calls to the
-// store, so that neither holds back the other.
+// fetchFromPeers fetches the versions that balancers report. It runs apart from the calls
+// to the store, so that neither holds back the other.
 func (s *Syncer) fetchFromPeers(ctx context.Context) {
 	for {
 		select {
@@ -152,28 +170,30 @@
 			return
 		case <-s.refreshRequests:
 		}
-		if peer := s.newerPeer.Swap(nil); peer != nil && !s.fetch(ctx, *peer) && ctx.Err() == nil {
-			notify(s.readRequests)
+		if r := s.newerVersion.Swap(nil); r != nil && r.Version > s.version() {
+			s.fetch(ctx, *r)
 		}
 	}
 }
 
-// fetch applies the version of a peer; ok is false if the fetch or the decoding failed.
-// After fetchPatience the store is read as well.
-func (s *Syncer) fetch(ctx context.Context, peer netip.Addr) (ok bool) {
+// fetch applies the value of a peer. The store is read as well if the fetch fails, takes
+// longer than fetchPatience, or brings an older version than was reported.
+func (s *Syncer) fetch(ctx context.Context, r reportedVersion) {
 	start := time.Now()
 	slow := time.AfterFunc(fetchPatience, func() { notify(s.readRequests) })
 	defer slow.Stop()
-	value, err := s.FetchFromPeer(ctx, peer)
+	value, err := s.FetchFromPeer(ctx, r.from)
 	if err != nil {
-		s.Warn("ConfigurationUnfetched", "From", peer, "Took", time.Since(start), "Reason", err)
-		return false
+		s.Warn("ConfigurationUnfetched", "From", r.from, "Reported", r.Version, "Took", time.Since(start), "Reason", err)
+		notify(s.readRequests)
+		return
 	}
-	c, ok := s.apply(value, "Peer")
-	if ok {
-		s.Info("ConfigurationFetched", "From", peer, "Version", c.Version, "Took", time.Since(start))
+	if c, ok := s.apply(value, "Peer"); ok {
+		s.Info("ConfigurationFetched", "From", r.from, "Reported", r.Version, "Version", c.Version, "Took", time.Since(start))
+	}
+	if s.version() < r.Version {
+		notify(s.readRequests)
 	}
-	return ok
 }
 
 func (s *Syncer) waitRetry(ctx context.Context) {
@@ -237,8 +257,8 @@
 
 // apply decodes a value and passes it to Apply; ok is false if decoding fails.
 func (s *Syncer) apply(value []byte, source string) (c *routes.Configuration, ok bool) {
-	s.applying.Lock()
-	defer s.applying.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	c, problems, err := s.Decode(value)
 	if err != nil {
 		s.Error("ConfigurationUnreadable", "Source", source, "Reason", err)
@@ -247,7 +267,9 @@
 	for _, p := range problems {
 		s.Warn("RouteUnreadable", "Version", c.Version, "Source", source, "Reason", p)
 	}
-	s.value.Store(&value)
+	if c.Version > s.latest.version {
+		s.latest = decodedValue{c.Version, value}
+	}
 	s.Apply(c, source)
 	return c, true
 }
--- a/internal/relay/configsync/syncer_test.go
+++ b/internal/relay/configsync/syncer_test.go
@@ -161,7 +161,7 @@
 	reads := f.client.Calls.Reads.Load()
 	for v := 4; v < 30; v++ {
 		f.setPeer(strconv.Itoa(v), 0)
-		syncer.Refresh(peer)
+		syncer.Refresh(peer, routes.Version(v))
 		f.waitForVersion(routes.Version(v), time.Second)
 	}
 	qt.Assert(t, f.client.Calls.Reads.Load(), qt.Equals, reads)
@@ -176,7 +176,7 @@
 	f.put("9")
 	time.Sleep(50 * time.Millisecond)
 	qt.Assert(t, f.version(), qt.Equals, routes.Version(3), qt.Commentf("no peer has announced a newer version yet"))
-	syncer.Refresh(peer)
+	syncer.Refresh(peer, 9)
 	f.waitForVersion(9, time.Second)
 }
 
@@ -190,7 +190,7 @@
 	syncer := f.start(false)
 	f.waitForVersion(3, time.Second)
 	f.put("9")
-	syncer.Refresh(peer)
+	syncer.Refresh(peer, 9)
 	f.waitForVersion(9, 2*time.Second)
 }
 
@@ -203,10 +203,10 @@
 	syncer := f.start(false)
 	f.waitForVersion(3, time.Second)
 	f.Store.SetFaults(storage.Faults{DelayMillis: 2000})
-	syncer.Refresh(peer)
+	syncer.Refresh(peer, 9)
 	time.Sleep(100 * time.Millisecond)
 	f.setPeer("9", 0)
-	syncer.Refresh(peer)
+	syncer.Refresh(peer, 9)
 	f.waitForVersion(9, 300*time.Millisecond)
 }
 
@@ -220,10 +220,38 @@
 	f.waitForVersion(3, time.Second)
 	f.put("9")
 	f.Store.SetFaults(storage.Faults{DelayMillis: 500})
-	syncer.Refresh(peer)
+	syncer.Refresh(peer, 9)
 	f.waitForVersion(9, 3*time.Second)
 }
 
+// TestFetchThatBringsNothingNewerTriggersRead guards against a balancer that goes on
+// fetching from a peer that hands out less than it reports.
+func TestFetchThatBringsNothingNewerTriggersRead(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.put("3")
+	syncer := f.start(false)
+	f.waitForVersion(3, time.Second)
+	f.put("9")
+	f.setPeer("3", 0)
+	syncer.Refresh(peer, 9)
+	f.waitForVersion(9, time.Second)
+}
+
+// TestPeersAreNotGivenOlderValues guards against handing out an older value than the one in
+// force after a late fetch.
+func TestPeersAreNotGivenOlderValues(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.put("9")
+	syncer := f.start(false)
+	f.waitForVersion(9, time.Second)
+	f.setPeer("7", 0)
+	syncer.Refresh(peer, 10)
+	time.Sleep(100 * time.Millisecond)
+	qt.Assert(t, string(syncer.Value()), qt.Equals, "9")
+}
+
 func TestFetchFromPeerWhileStoreUnavailable(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
@@ -233,7 +261,7 @@
 	f.setPeer("12", 0)
 	f.Store.SetFaults(storage.Faults{Down: true})
 	time.Sleep(300 * time.Millisecond)
-	syncer.Refresh(peer)
+	syncer.Refresh(peer, 12)
 	f.waitForVersion(12, time.Second)
 	qt.Assert(t, string(syncer.Value()), qt.Equals, "12")
 }
--- a/internal/relay/forwarding/configuration.go
+++ b/internal/relay/forwarding/configuration.go
@@ -11,12 +11,12 @@
 // handleNewerVersion fetches a newer version from a balancer of the same data centre.
 // It fetches from another data centre only if this balancer is the fetcher of its data
 // centre, or after localFetchTimeout, since the fetcher may be cut off.
-func (c *Core) handleNewerVersion(now instant.Instant, from flow.IP, dataCentre string) {
+func (c *Core) handleNewerVersion(now instant.Instant, from flow.IP, dataCentre string, v routes.Version) {
 	if c.newerVersionSince == 0 {
 		c.newerVersionSince = now
 	}
 	if dataCentre == c.DataCentre || c.isDataCentreFetcher(now) || now.Sub(c.newerVersionSince) >= localFetchTimeout {
-		c.Emit(action.Action{Kind: action.Refresh, To: from})
+		c.Emit(action.Action{Kind: action.Refresh, To: from, Version: v})
 	}
 }
 
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -276,8 +276,8 @@
 	if !c.Members.ApplyReport(now, r) {
 		return
 	}
-	if r.Service == "" && routes.Version(r.Version) > c.Routes.Version() {
-		c.handleNewerVersion(now, from, r.DataCentre)
+	if v := routes.Version(r.Version); r.Service == "" && v > c.Routes.Version() {
+		c.handleNewerVersion(now, from, r.DataCentre, v)
 	}
 	c.handleMemberChanges(now)
 }
