--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -87,6 +87,9 @@
 	syncConfig.FetchFromPeer = func(ctx context.Context, from netip.Addr) ([]byte, error) {
 		return process.Fetch(ctx, netip.AddrPortFrom(from, s.PeerPort), configurationPath)
 	}
+	syncConfig.OnConfirm = func(age time.Duration) {
+		b.update(func(c *forwarding.Core) { c.ConfirmVersion(b.Now(), age) })
+	}
 	onStoreHealth := func(component string) func(bool) {
 		return func(ok bool) {
 			b.update(func(c *forwarding.Core) { c.SetStoreHealth(b.Now(), component, ok) })
--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -2,7 +2,8 @@
 //
 // A few balancers watch the key in the store and see changes at once. The others
 // fetch newer versions from balancers that have them, so that frequent changes add no
-// load to the store. A watch may stall, and the store may compact the history that it
+// load to the store; they rely on a watching balancer only while the store confirms its
+// version to it. A watch may stall, and the store may compact the history that it
 // needs, so the key is read again after each failure of the store or of a peer, and
 // periodically.
 //
@@ -54,6 +55,9 @@
 	// ShouldWatch reports whether this process has to watch the store; the others learn
 	// of changes from those that watch.
 	ShouldWatch func() bool
+	// OnConfirm is called when the store has confirmed that there is no newer value; age is
+	// the age of its answer.
+	OnConfirm func(age time.Duration)
 	// OnStoreHealth is called when the store becomes unavailable or available again.
 	OnStoreHealth func(ok bool)
 	// FetchFromPeer returns the latest value of another balancer.
@@ -90,6 +94,7 @@
 	mu     sync.Mutex
 	latest decodedValue
 
+	watching     bool
 	storeFailing bool
 	retryDelay   time.Duration
 	// watchRevision is the revision at which the next watch begins. decodedRevision is
@@ -232,6 +237,7 @@
 
 // readKey reads the key from the store.
 func (s *Syncer) readKey(ctx context.Context) error {
+	start := time.Now()
 	kvs, rev, err := s.store.Read(ctx, store.Range{Key: s.Key})
 	if err != nil {
 		return err
@@ -242,6 +248,7 @@
 		s.watchRevision = max(s.watchRevision, kv.Revision)
 		s.handleChange(kv, "Read")
 	}
+	s.OnConfirm(time.Since(start))
 	return nil
 }
 
@@ -274,6 +281,16 @@
 	return c, true
 }
 
+// shouldWatch calls ShouldWatch and logs changes of its result.
+func (s *Syncer) shouldWatch() bool {
+	watching := s.ShouldWatch()
+	if watching != s.watching {
+		s.watching = watching
+		s.Info("ConfigurationWatch", "Watching", watching, "Version", s.version())
+	}
+	return watching
+}
+
 // waitWatchCheck waits until ShouldWatch is due again.
 func (s *Syncer) waitWatchCheck(ctx context.Context) {
 	select {
@@ -298,7 +315,7 @@
 		}
 	})
 	for time.Now().Before(s.nextRead) && ctx.Err() == nil {
-		if !s.ShouldWatch() {
+		if !s.shouldWatch() {
 			s.waitWatchCheck(ctx)
 			continue
 		}
@@ -311,6 +328,8 @@
 			return err
 		default:
 			s.watchRevision = max(s.watchRevision, rev)
+			// The store answers when a change comes or the wait ends, not earlier.
+			s.OnConfirm(0)
 		}
 	}
 	if readRequested.Load() {
--- a/internal/relay/configsync/syncer_test.go
+++ b/internal/relay/configsync/syncer_test.go
@@ -71,6 +71,7 @@
 			}
 		},
 		ShouldWatch:   func() bool { return shouldWatch },
+		OnConfirm:     func(time.Duration) {},
 		OnStoreHealth: func(bool) {},
 		FetchFromPeer: func(ctx context.Context, _ netip.Addr) ([]byte, error) {
 			value, delay := f.peer()
--- a/internal/relay/forwarding/configuration.go
+++ b/internal/relay/forwarding/configuration.go
@@ -1,6 +1,8 @@
 package forwarding
 
 import (
+	"time"
+
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/flow"
@@ -70,15 +72,21 @@
 	}
 }
 
+// ConfirmVersion records that the store has confirmed the version in force as the newest;
+// age is the age of its answer.
+func (c *Core) ConfirmVersion(now instant.Instant, age time.Duration) {
+	c.versionValidUntil = max(c.versionValidUntil, now.Add(versionValidity-age))
+}
+
 // ShouldWatchConfiguration reports whether this balancer must watch the store for new
-// configurations: it is one of the maxConfigurationWatchers lowest instances that report
-// and can reach the store.
+// configurations: fewer than maxConfigurationWatchers lower instances report, can reach the
+// store and have heard from it recently.
 func (c *Core) ShouldWatchConfiguration(now instant.Instant) bool {
-	lowerBalancers := 0
+	watchers := 0
 	for _, m := range c.Members.Balancers() {
-		if m.ID() < c.Self && !m.IsSuspect(now) && m.State == message.State_StateReady {
-			lowerBalancers++
+		if m.ID() < c.Self && !m.IsSuspect(now) && m.State == message.State_StateReady && now < c.validUntil[m.ID()] {
+			watchers++
 		}
 	}
-	return lowerBalancers < maxConfigurationWatchers
+	return watchers < maxConfigurationWatchers
 }
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -49,6 +49,11 @@
 	// maxSearchedServices limits the services at which a flow's owner is searched although
 	// the route does not name them: such a search asks all agents.
 	maxSearchedServices = 16
+	// versionValidity is how long a version counts as the newest after the store has
+	// confirmed it: longer than one watch, its answer and a report take, and short enough
+	// that a balancer can still ask the store itself within the few seconds in which a
+	// version must be in force.
+	versionValidity = 2 * time.Second
 	// expiryInterval is the interval between removals of expired hints and members.
 	expiryInterval = 2 * time.Second
 	// localFetchTimeout is how long the balancer waits for its own data centre to
@@ -100,13 +105,20 @@
 	handledChanges uint64
 	// newerVersionSince is when a newer version was first reported, 0 if none was.
 	newerVersionSince instant.Instant
+	// versionValidUntil is when this process's version stops counting as the newest unless
+	// the store confirms it again; validUntil holds the same for other balancers.
+	versionValidUntil instant.Instant
+	validUntil        map[flow.IP]instant.Instant
 	// failedComponents holds the components of the process that cannot reach the store.
 	failedComponents map[string]bool
 }
 
 // New returns a core without members, routes or hints.
 func New(cfg Config) *Core {
-	return &Core{Config: cfg, Members: membership.New(cfg.Self, cfg.DataCentre), hints: make(map[flow.ID]*hint), failedComponents: make(map[string]bool)}
+	return &Core{
+		Config: cfg, Members: membership.New(cfg.Self, cfg.DataCentre), hints: make(map[flow.ID]*hint),
+		validUntil: make(map[flow.IP]instant.Instant), failedComponents: make(map[string]bool),
+	}
 }
 
 // Sizes returns the number of hints and of queued packets.
@@ -251,7 +263,7 @@
 	case *message.Envelope_Hint:
 		c.handleHint(now, b.Hint)
 	case *message.Envelope_Report:
-		c.handleReport(now, from, b.Report.GetRecord())
+		c.handleReport(now, from, b.Report)
 	}
 }
 
@@ -269,13 +281,17 @@
 	}
 }
 
-func (c *Core) handleReport(now instant.Instant, from flow.IP, r *message.Record) {
+func (c *Core) handleReport(now instant.Instant, from flow.IP, report *message.Report) {
+	r := report.GetRecord()
 	if r == nil || flow.IP(r.Instance) != from || from == c.Self {
 		return
 	}
 	if !c.Members.ApplyReport(now, r) {
 		return
 	}
+	if r.Service == "" {
+		c.validUntil[from] = now.Add(time.Duration(report.VersionValidMillis) * time.Millisecond)
+	}
 	if v := routes.Version(r.Version); r.Service == "" && v > c.Routes.Version() {
 		c.handleNewerVersion(now, from, r.DataCentre, v)
 	}
@@ -345,7 +361,8 @@
 	}
 	c.nextReport = now.Add(reportInterval)
 	c.sequence++
-	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record()}}}
+	valid := max(c.versionValidUntil.Sub(now), 0)
+	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record(), VersionValidMillis: uint32(valid / time.Millisecond)}}}
 	c.Members.ForEach(func(m *membership.Member) {
 		if m.ID() != c.Self {
 			c.Emit(action.Action{Kind: action.Send, To: m.ID(), Message: e})
@@ -360,6 +377,7 @@
 		}
 	}
 	for _, m := range c.Members.Expire(now) {
+		delete(c.validUntil, m.ID())
 		c.LogStateChange("MemberForgotten", "Member", m.ID(), "Service", m.Service)
 	}
 	c.handleMemberChanges(now)
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -20,9 +20,13 @@
 }
 
 func sendReportWithState(c *forwarding.Core, now instant.Instant, from flow.IP, dataCentre string, sequence uint64, version int64, s message.State) {
-	c.HandleMessage(now, from, &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: &message.Record{
+	sendReportOf(c, now, &message.Report{VersionValidMillis: 2000, Record: &message.Record{
 		Instance: uint32(from), DataCentre: dataCentre, Incarnation: 1, Sequence: sequence, State: s, Version: version,
-	}}}})
+	}})
+}
+
+func sendReportOf(c *forwarding.Core, now instant.Instant, r *message.Report) {
+	c.HandleMessage(now, flow.IP(r.Record.Instance), &message.Envelope{Body: &message.Envelope_Report{Report: r}})
 }
 
 // refreshes returns the balancers from which a core requests the configuration.
@@ -91,3 +95,54 @@
 	c.SetStoreHealth(now, "Follower", true)
 	qt.Assert(t, c.Record().State, qt.Equals, message.State_StateReady)
 }
+
+// TestWatchersThatDoNotConfirmAreReplaced guards against a configuration that is late
+// because the watching balancers report, but do not hear from the store.
+func TestWatchersThatDoNotConfirmAreReplaced(t *testing.T) {
+	now := instant.Instant(time.Second)
+	c := forwarding.New(forwarding.Config{Self: 20, DataCentre: "a"})
+	sequence := uint64(0)
+	report := func(validMillis uint32) {
+		sequence++
+		for id := flow.IP(1); id <= 3; id++ {
+			sendReportOf(c, now, &message.Report{VersionValidMillis: validMillis, Record: &message.Record{
+				Instance: uint32(id), DataCentre: "b", Incarnation: 1, Sequence: sequence, State: message.State_StateReady, Version: 1,
+			}})
+		}
+	}
+	report(1600)
+	qt.Assert(t, c.ShouldWatchConfiguration(now), qt.IsFalse)
+	for now < instant.Instant(3*time.Second) {
+		now = now.Add(400 * time.Millisecond)
+		report(0)
+	}
+	qt.Assert(t, c.ShouldWatchConfiguration(now), qt.IsTrue)
+	report(1600)
+	qt.Assert(t, c.ShouldWatchConfiguration(now), qt.IsFalse)
+}
+
+// TestReportsSayHowLongTheVersionIsValid guards against a balancer that vouches for its
+// version without a recent confirmation by the store.
+func TestReportsSayHowLongTheVersionIsValid(t *testing.T) {
+	now := instant.Instant(time.Second)
+	c := forwarding.New(forwarding.Config{Self: 20, DataCentre: "a"})
+	sendReport(c, now, 5, "b", 1, 1)
+	validMillis := func() uint32 {
+		now = now.Add(500 * time.Millisecond)
+		c.Tick(now)
+		actions, _ := c.TakeOutput()
+		for _, a := range actions {
+			if r := a.Message.GetReport(); r != nil {
+				return r.VersionValidMillis
+			}
+		}
+		t.Fatal("no report")
+		return 0
+	}
+	qt.Assert(t, validMillis(), qt.Equals, uint32(0))
+	c.ConfirmVersion(now, 300*time.Millisecond)
+	qt.Assert(t, validMillis(), qt.Equals, uint32(1200))
+	qt.Assert(t, validMillis(), qt.Equals, uint32(700))
+	qt.Assert(t, validMillis(), qt.Equals, uint32(200))
+	qt.Assert(t, validMillis(), qt.Equals, uint32(0))
+}
