--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -55,6 +55,9 @@
 	Revision int64
 	// LeaseID identifies a lease; 0 means no lease.
 	LeaseID int64
+	// Era counts how often the store has come back from a copy that is older than what it
+	// had acknowledged. Revisions and leases are comparable only within one era.
+	Era int64
 )
 
 // KV is a key with its value.
@@ -93,11 +96,15 @@
 	Stale bool
 }
 
-// Gateway implements the protocol of one kind of store. All fields must be set.
+// Gateway implements the protocol of one kind of store. All fields except EraHeader must be
+// set.
 //
 // A write fails with ErrRefused if the store reports that it did not take effect,
 // and with ErrLeaseExpired if the store does not know the lease.
 type Gateway struct {
+	// EraHeader is the header of every response that holds the era as a decimal number. It
+	// is empty if the store never returns from an older copy.
+	EraHeader string
 	// Range returns the keys in order and the revision up to which they are complete.
 	Range func(ctx context.Context, t *Transport, r Range) ([]KV, Revision, error)
 	// Commit writes all puts if all conditions hold, and reports whether they did.
@@ -136,7 +143,7 @@
 
 // NewWithGateway returns a client that uses gateway g.
 func NewWithGateway(g Gateway, endpoints []netip.AddrPort, timeout time.Duration) *Client {
-	return &Client{Transport: newTransport(endpoints, timeout), gateway: g, timeout: timeout}
+	return &Client{Transport: newTransport(endpoints, timeout, g.EraHeader), gateway: g, timeout: timeout}
 }
 
 // Get returns a key with its value; Revision is 0 if the key does not exist.
--- a/internal/process/store/transport.go
+++ b/internal/process/store/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -23,11 +24,14 @@
 	endpoints     []netip.AddrPort
 	endpointIndex atomic.Uint32
 	http          *http.Client
+	// eraHeader is the response header that holds the era, empty if there is none.
+	eraHeader string
+	era       atomic.Int64
 }
 
-func newTransport(endpoints []netip.AddrPort, timeout time.Duration) *Transport {
+func newTransport(endpoints []netip.AddrPort, timeout time.Duration, eraHeader string) *Transport {
 	dialer := net.Dialer{Timeout: timeout}
-	return &Transport{endpoints: endpoints, http: &http.Client{Transport: &http.Transport{
+	return &Transport{endpoints: endpoints, eraHeader: eraHeader, http: &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
@@ -39,6 +43,25 @@
 	t.http.CloseIdleConnections()
 }
 
+// Era returns the highest era that a response has named, 0 if none has.
+func (t *Transport) Era() Era { return Era(t.era.Load()) }
+
+// observeEra records the era of a response.
+func (t *Transport) observeEra(h http.Header) {
+	if t.eraHeader == "" {
+		return
+	}
+	era, err := strconv.ParseInt(h.Get(t.eraHeader), 10, 64)
+	if err != nil {
+		return
+	}
+	for old := t.era.Load(); era > old; old = t.era.Load() {
+		if t.era.CompareAndSwap(old, era) {
+			return
+		}
+	}
+}
+
 // StatusError is a response with an HTTP status other than 200.
 type StatusError struct {
 	Status int
@@ -96,6 +119,7 @@
 		t.endpointIndex.Add(1)
 		return nil, err
 	}
+	t.observeEra(res.Header)
 	if res.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
 		_ = res.Body.Close()
--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -103,6 +103,8 @@
 	decodedRevision store.Revision
 	// nextRead is when the key is due for the next read.
 	nextRead time.Time
+	// era is the store's era at the last look.
+	era store.Era
 }
 
 // New returns a syncer that runs until Close.
@@ -158,6 +160,7 @@
 		if err == nil {
 			err = s.watch(ctx)
 		}
+		s.observeEra()
 		s.reportStoreHealth(err)
 		if err != nil {
 			s.nextRead = time.Time{}
@@ -235,6 +238,14 @@
 	s.storeFailing = err != nil
 }
 
+// observeEra logs a new era of the store.
+func (s *Syncer) observeEra() {
+	if era := s.store.Era(); era != s.era {
+		s.Warn("StoreRestored", "By", "Follower", "Era", era, "Before", s.era, "Version", s.version(), "WatchRevision", s.watchRevision, "DecodedRevision", s.decodedRevision)
+		s.era = era
+	}
+}
+
 // readKey reads the key from the store.
 func (s *Syncer) readKey(ctx context.Context) error {
 	start := time.Now()
--- a/internal/relay/explanation/explanation.go
+++ b/internal/relay/explanation/explanation.go
@@ -58,7 +58,7 @@
 
 // stateEvents are the events that record a change of a process's state.
 var stateEvents = map[string]bool{
-	"Started": true, "Stopping": true, "Stopped": true, "StoreLost": true, "StoreRegained": true, "ConfigurationApplied": true,
+	"Started": true, "Stopping": true, "Stopped": true, "StoreLost": true, "StoreRegained": true, "StoreRestored": true, "ConfigurationApplied": true,
 	"UpstreamStateChanged": true, "UpstreamReplaced": true, "UpstreamAbsent": true, "MemberForgotten": true, "LeaseLapsed": true,
 }
 
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -93,6 +93,8 @@
 	checkpoints  checkpointState
 	storeFailing bool
 	retryDelay   time.Duration
+	// era is the store's era at the last look.
+	era store.Era
 }
 
 // New returns a registry that reads and writes until Close.
@@ -130,11 +132,20 @@
 func (r *Registry) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := r.runOnce(ctx)
+		r.observeEra()
 		r.reportStoreHealth(err)
 		r.wait(ctx, err)
 	}
 }
 
+// observeEra logs a new era of the store.
+func (r *Registry) observeEra() {
+	if era := r.store.Era(); era != r.era {
+		r.Warn("StoreRestored", "By", "Registry", "Era", era, "Before", r.era, "Revision", r.revision, "Lease", r.lease)
+		r.era = era
+	}
+}
+
 // runOnce makes the store calls that are due. It reads the entries again after it
 // created its own: of two processes that start together, the later one sees the other.
 func (r *Registry) runOnce(ctx context.Context) error {
