--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -15,6 +15,7 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"sync"
@@ -33,8 +34,8 @@
 	pollInterval = 15 * time.Second
 	// watchCheckInterval is how often a process that does not watch calls ShouldWatch.
 	watchCheckInterval = 200 * time.Millisecond
-	// startupRetryMin is the first retry delay until a value from the store has been
-	// decoded, retryMin the first one afterwards. Each further failure doubles the
+	// startupRetryMin is the first retry delay until the store has returned a value,
+	// retryMin the first one afterwards. Each further failure doubles the
 	// delay, up to startupRetryMax or retryMax.
 	startupRetryMin = 30 * time.Millisecond
 	startupRetryMax = 120 * time.Millisecond
@@ -97,14 +98,13 @@
 	watching     bool
 	storeFailing bool
 	retryDelay   time.Duration
-	// watchRevision is the revision at which the next watch begins. decodedRevision is
-	// the revision of the last value from the store that could be decoded.
-	watchRevision   store.Revision
-	decodedRevision store.Revision
+	// watchRevision is the revision at which the next watch begins, in era.
+	watchRevision store.Revision
+	era           store.Era
+	// stored is the last value from the store, nil until there is one.
+	stored []byte
 	// nextRead is when the key is due for the next read.
 	nextRead time.Time
-	// era is the store's era at the last look.
-	era store.Era
 }
 
 // New returns a syncer that runs until Close.
@@ -160,11 +160,10 @@
 		if err == nil {
 			err = s.watch(ctx)
 		}
-		s.observeEra()
 		s.reportStoreHealth(err)
 		if err != nil {
 			s.nextRead = time.Time{}
-			s.waitRetry(ctx)
+			s.wait(ctx, s.nextDelay())
 		}
 	}
 }
@@ -204,16 +203,9 @@
 	}
 }
 
-func (s *Syncer) waitRetry(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(s.nextDelay()):
-	}
-}
-
 // nextDelay returns the delay before the next retry.
 func (s *Syncer) nextDelay() time.Duration {
-	if s.decodedRevision == 0 {
+	if s.stored == nil {
 		d := max(s.retryDelay, startupRetryMin)
 		s.retryDelay = min(2*d, startupRetryMax)
 		return d
@@ -238,39 +230,38 @@
 	s.storeFailing = err != nil
 }
 
-// observeEra logs a new era of the store.
-func (s *Syncer) observeEra() {
-	if era := s.store.Era(); era != s.era {
-		s.Warn("StoreRestored", "By", "Follower", "Era", era, "Before", s.era, "Version", s.version(), "WatchRevision", s.watchRevision, "DecodedRevision", s.decodedRevision)
-		s.era = era
-	}
-}
-
-// readKey reads the key from the store.
+// readKey reads the key from the store. The key stays due if the store was restored
+// meanwhile, since the answer may be from before.
 func (s *Syncer) readKey(ctx context.Context) error {
-	start := time.Now()
+	start, before := time.Now(), s.store.Era()
 	kvs, rev, err := s.store.Read(ctx, store.Range{Key: s.Key})
 	if err != nil {
 		return err
 	}
+	era := s.store.Era()
+	if before != 0 && era != before {
+		return nil
+	}
+	if s.era != 0 && era != s.era {
+		s.Warn("StoreRestored", "By", "Follower", "Era", era, "Before", s.era, "Version", s.version(), "WatchRevision", s.watchRevision, "Revision", rev)
+	}
+	s.era, s.watchRevision = era, rev
 	s.nextRead = time.Now().Add(pollInterval)
-	s.watchRevision = max(s.watchRevision, rev)
 	for _, kv := range kvs {
-		s.watchRevision = max(s.watchRevision, kv.Revision)
 		s.handleChange(kv, "Read")
 	}
 	s.OnConfirm(time.Since(start))
 	return nil
 }
 
-// handleChange applies a value whose revision is newer than decodedRevision.
+// handleChange applies a value unless it is the same as the last one. Values are ordered by
+// their versions: revisions start again when the store has been restored.
 func (s *Syncer) handleChange(kv store.KV, source string) {
-	if kv.Key != s.Key || kv.Value == nil || kv.Revision <= s.decodedRevision {
+	if kv.Key != s.Key || kv.Value == nil || bytes.Equal(kv.Value, s.stored) {
 		return
 	}
-	if _, ok := s.apply(kv.Value, source); ok {
-		s.decodedRevision = kv.Revision
-	}
+	s.stored = kv.Value
+	s.apply(kv.Value, source)
 }
 
 // apply decodes a value and passes it to Apply; ok is false if decoding fails.
@@ -302,11 +293,11 @@
 	return watching
 }
 
-// waitWatchCheck waits until ShouldWatch is due again.
-func (s *Syncer) waitWatchCheck(ctx context.Context) {
+// wait waits for d or until ctx is done.
+func (s *Syncer) wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(watchCheckInterval):
+	case <-time.After(d):
 	}
 }
 
@@ -326,19 +317,25 @@
 		}
 	})
 	for time.Now().Before(s.nextRead) && ctx.Err() == nil {
+		if s.store.Era() != s.era {
+			// watchRevision is of an earlier era.
+			s.nextRead = time.Time{}
+			break
+		}
 		if !s.shouldWatch() {
-			s.waitWatchCheck(ctx)
+			s.wait(ctx, watchCheckInterval)
 			continue
 		}
 		rev, err := s.store.Watch(ctx, s.Key, s.watchRevision, func(kv store.KV) { s.handleChange(kv, "Watch") })
 		switch {
-		case ctx.Err() != nil:
+		case ctx.Err() != nil || s.store.Era() != s.era:
 		case eris.Is(err, store.ErrCompacted):
 			s.nextRead = time.Time{}
+			s.wait(ctx, retryMin)
 		case err != nil:
 			return err
 		default:
-			s.watchRevision = max(s.watchRevision, rev)
+			s.watchRevision = rev
 			// The store answers when a change comes or the wait ends, not earlier.
 			s.OnConfirm(0)
 		}
