--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -93,8 +93,9 @@
 	checkpoints  checkpointState
 	storeFailing bool
 	retryDelay   time.Duration
-	// era is the store's era at the last look.
-	era store.Era
+	// era is the store's era. restored is set until the own entry has been checked in it.
+	era      store.Era
+	restored bool
 }
 
 // New returns a registry that reads and writes until Close.
@@ -132,25 +133,33 @@
 func (r *Registry) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := r.runOnce(ctx)
-		r.observeEra()
 		r.reportStoreHealth(err)
-		r.wait(ctx, err)
+		if !r.beginEra() || err != nil {
+			r.wait(ctx, err)
+		}
 	}
 }
 
-// observeEra logs a new era of the store.
-func (r *Registry) observeEra() {
-	if era := r.store.Era(); era != r.era {
-		r.Warn("StoreRestored", "By", "Registry", "Era", era, "Before", r.era, "Revision", r.revision, "Lease", r.lease)
-		r.era = era
+// beginEra reports whether the store was restored since the last call. The entry may be
+// missing or older then, and another process may have been granted the lease, so that
+// both are checked before the lease is used again.
+func (r *Registry) beginEra() bool {
+	before, era := r.era, r.store.Era()
+	r.era = era
+	if before == 0 || era == before {
+		return false
 	}
+	r.Warn("StoreRestored", "By", "Registry", "Era", era, "Before", before, "Revision", r.revision, "Lease", r.lease)
+	r.nextRead, r.restored = time.Time{}, true
+	r.checkpoints.written, r.checkpoints.nextWrite = nil, time.Time{}
+	return true
 }
 
 // runOnce makes the store calls that are due. It reads the entries again after it
 // created its own: of two processes that start together, the later one sees the other.
 func (r *Registry) runOnce(ctx context.Context) error {
 	if !r.loaded || !time.Now().Before(r.nextRead) {
-		if err := r.readEntries(ctx, r.loaded); err != nil {
+		if err := r.readEntries(ctx, r.loaded && !r.restored); err != nil {
 			return err
 		}
 	}
@@ -239,10 +248,17 @@
 			continue
 		}
 		foundOwn = true
-		if !r.loaded {
+		switch {
+		case !r.loaded:
 			r.adoptEntry(kv, rec)
+		case r.restored:
+			r.checkEntry(kv, rec)
 		}
 	}
+	if r.restored && !foundOwn {
+		r.revision, r.lease, r.writePending = 0, 0, true
+	}
+	r.restored = false
 	if !foundOwn && stale && !r.writePending {
 		return r.verifyOwnEntry(ctx, others)
 	}
@@ -256,9 +272,25 @@
 func (r *Registry) adoptEntry(kv store.KV, rec *message.Record) {
 	r.OnOwnRecord(rec)
 	r.checkpoints.unread = rec.Service != ""
-	current := r.Record()
 	r.revision, r.lease, r.nextRenewal = kv.Revision, kv.Lease, time.Now()
-	r.writePending = kv.Lease == 0 || rec.Service != current.Service || rec.DataCentre != current.DataCentre || isUpstreamLeaving(rec.State) != isUpstreamLeaving(current.State)
+	r.writePending = kv.Lease == 0 || !r.isCurrent(rec)
+}
+
+// checkEntry compares the entry of a restored store with this process. Only an entry under
+// the same lease proves that the lease is still the process's own.
+func (r *Registry) checkEntry(kv store.KV, rec *message.Record) {
+	if kv.Lease != r.lease {
+		r.lease = 0
+	}
+	r.revision, r.nextRenewal = kv.Revision, time.Now()
+	r.writePending = r.lease == 0 || !r.isCurrent(rec)
+}
+
+// isCurrent reports whether a stored record tells other processes what they have to know of
+// this one.
+func (r *Registry) isCurrent(rec *message.Record) bool {
+	current := r.Record()
+	return rec.Service == current.Service && rec.DataCentre == current.DataCentre && isUpstreamLeaving(rec.State) == isUpstreamLeaving(current.State)
 }
 
 // isUpstreamLeaving reports whether an upstream is draining or gone, which other members
