--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -153,6 +154,19 @@
 	clear(w.checkpoints)
 }
 
+// CopyEntries returns a function that puts the store's entries back to what they are now, each
+// with its full lifetime, and removes all later ones.
+func (w *World) CopyEntries() (restore func()) {
+	entries, checkpoints := maps.Clone(w.entries), maps.Clone(w.checkpoints)
+	return func() {
+		w.LoseEntries()
+		for ip, e := range entries {
+			w.entries[ip] = &entry{e.record, w.now.Add(entryTTL)}
+		}
+		maps.Copy(w.checkpoints, checkpoints)
+	}
+}
+
 // applyActions carries out the actions and traces the decisions of a core.
 func (w *World) applyActions(p *Process) {
 	var v *action.Output
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -53,6 +53,32 @@
 			})
 			w.At(4500*time.Millisecond, func() { w.StoreDown = false })
 		}},
+		{"StoreIsRestoredWhileAgentsJoinAndLeave", 0.90, func(w *World) {
+			w.At(1500*time.Millisecond, func() {
+				restore := w.CopyEntries()
+				w.At(6*time.Second, restore)
+			})
+			for i := range 4 {
+				w.At(time.Duration(2000+600*i)*time.Millisecond, func() {
+					w.AddAgent(w.Services[0], i)
+					w.Agents[i].Upstream.Drain(3 * time.Second)
+				})
+			}
+		}},
+		{"StoreIsRestoredAndAllAreKilled", 0.55, func(w *World) {
+			w.At(1500*time.Millisecond, func() {
+				restore := w.CopyEntries()
+				w.At(3500*time.Millisecond, restore)
+			})
+			for i := range 2 {
+				w.At(2*time.Second, func() { w.AddAgent(w.Services[0], i) })
+			}
+			w.At(3*time.Second, func() {
+				for _, p := range append(w.Agents, w.Balancers...) {
+					w.Restart(p, time.Second)
+				}
+			})
+		}},
 		{"UpstreamsDrainAndOthersJoin", 0.93, func(w *World) {
 			for i := range 4 {
 				w.At(time.Duration(2000+800*i)*time.Millisecond, func() {
