--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -389,3 +389,44 @@
 	// The first change is the creation.
 	qt.Check(t, len(history), qt.Equals, len(accepted)+1, qt.Commentf("a change that was reported as lost took effect"))
 }
+
+// inForceWithin is the time within which an accepted contract must be in force everywhere.
+const inForceWithin = 4 * time.Second
+
+// TestContractsAfterRestoreAreInForceInTime guards against contracts that are taken for older
+// ones after the store came back from a copy, since their revisions are lower.
+func TestContractsAfterRestoreAreInForceInTime(t *testing.T) {
+	f := newFleet(t, 46, nil)
+	ctx := context.Background()
+	change := func(bodyBytes int64) {
+		before, err := f.Operator.Show(ctx, "Registro")
+		qt.Assert(t, err, qt.IsNil)
+		v := f.Contract("Registro")
+		v.Limits.BodyBytes = bodyBytes
+		_, err = f.Operator.Change(ctx, v, before.Revision)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	inForce := func() (n int) {
+		for _, b := range f.Balancers {
+			b.WithView(func(_ *membership.View, c *catalogue.Catalogue) {
+				if e, ok := c.Get("Registro"); ok && e.Stored.Contract.Limits.BodyBytes == 2000 {
+					n++
+				}
+			})
+		}
+		return n
+	}
+	c := f.Store.Copy()
+	for i := range int64(5) {
+		change(1000 + i)
+	}
+	last, err := f.Operator.Show(ctx, "Registro")
+	qt.Assert(t, err, qt.IsNil)
+	f.awaitRevision(t, last)
+	f.Store.Restore(c)
+	change(2000)
+	for end := time.Now().Add(inForceWithin); time.Now().Before(end) && inForce() < len(f.Balancers); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, inForce(), qt.Equals, len(f.Balancers))
+}
--- a/internal/standin/storage/storage.go
+++ b/internal/standin/storage/storage.go
@@ -2,7 +2,7 @@
 //
 // It serves the parts of the etcd v3 JSON gateway that jaytack uses: Range, Txn
 // with comparisons of mod revisions, leases, and Watch. It keeps all data in
-// memory and can inject faults.
+// memory, can inject faults and can be put back to an earlier copy of itself.
 //
 // # Usage
 //
@@ -17,7 +17,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -99,6 +101,30 @@
 	s.historyChanged.Broadcast()
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	revision, lastLeaseID int64
+	values                map[string]storedValue
+	leases                map[int64]*lease
+}
+
+// Copy returns a copy of the store's content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, s.lastLeaseID, maps.Clone(s.values), maps.Clone(s.leases)}
+}
+
+// Restore puts the store back to an earlier copy: later writes are gone, and revisions and
+// leases are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.lastLeaseID, s.values, s.leases = c.revision, c.lastLeaseID, maps.Clone(c.values), maps.Clone(c.leases)
+	s.history = slices.DeleteFunc(s.history, func(e event) bool { return e.revision > c.revision })
+	s.historyChanged.Broadcast()
+}
+
 // Calls returns the number of calls served so far.
 func (s *Store) Calls() Calls {
 	s.mu.Lock()
