--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -3,9 +3,12 @@
 // A Client counts its calls, applies a timeout to them, closes idle connections
 // after a failure, and distinguishes a write that did not take effect from one
 // whose outcome is unknown. It repeats idempotent calls that take long on another
-// connection and waits for the first answer. A Gateway implements the protocol of the service: New
-// uses the JSON gateway of the etcd v3 API; NewWithGateway supports any other
-// service with compare-and-swap, leases and watches.
+// connection and waits for the first answer. A Gateway implements the protocol of the
+// service: New uses the JSON gateway of the etcd v3 API; NewWithGateway supports any
+// other service with compare-and-swap, leases and watches.
+//
+// A store may be restored from an older copy. It then gives out revisions and leases
+// again, so that they may be used only while Era stays the same.
 //
 // # Usage
 //
@@ -103,7 +106,7 @@
 // and with ErrLeaseExpired if the store does not know the lease.
 type Gateway struct {
 	// EraHeader is the header of every response that holds the era as a decimal number. It
-	// is empty if the store never returns from an older copy.
+	// is empty if the protocol has none; restores then go unnoticed.
 	EraHeader string
 	// Range returns the keys in order and the revision up to which they are complete.
 	Range func(ctx context.Context, t *Transport, r Range) ([]KV, Revision, error)
--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -5,7 +5,8 @@
 // load to the store; they rely on a watching balancer only while the store confirms its
 // version to it. A watch may stall, and the store may compact the history that it
 // needs, so the key is read again after each failure of the store or of a peer, and
-// periodically.
+// periodically. The store may also be restored from an older copy: values are ordered by
+// the versions in them, never by the store's revisions.
 //
 // # Usage
 //
@@ -35,14 +36,14 @@
 	// watchCheckInterval is how often a process that does not watch calls ShouldWatch.
 	watchCheckInterval = 200 * time.Millisecond
 	// startupRetryMin is the first retry delay until the store has returned a value,
-	// retryMin the first one afterwards. Each further failure doubles the
-	// delay, up to startupRetryMax or retryMax.
+	// retryMin the first one afterwards. Each further failure doubles the delay, up to
+	// startupRetryMax or retryMax.
 	startupRetryMin = 30 * time.Millisecond
 	startupRetryMax = 120 * time.Millisecond
 	retryMin        = 100 * time.Millisecond
 	retryMax        = 800 * time.Millisecond
-	// fetchPatience is how long a fetch from a peer may take before the store is read too.
-	fetchPatience = 400 * time.Millisecond
+	// fetchHedgeDelay is how long a fetch from a peer may take before the store is read too.
+	fetchHedgeDelay = 400 * time.Millisecond
 )
 
 // Config holds the key and the callbacks of a syncer. All fields are set.
@@ -98,7 +99,7 @@
 	watching     bool
 	storeFailing bool
 	retryDelay   time.Duration
-	// watchRevision is the revision at which the next watch begins, in era.
+	// watchRevision is the revision at which the next watch begins; it belongs to era.
 	watchRevision store.Revision
 	era           store.Era
 	// stored is the last value from the store, nil until there is one.
@@ -184,10 +185,10 @@
 }
 
 // fetch applies the value of a peer. The store is read as well if the fetch fails, takes
-// longer than fetchPatience, or brings an older version than was reported.
+// longer than fetchHedgeDelay, or brings an older version than was reported.
 func (s *Syncer) fetch(ctx context.Context, r reportedVersion) {
 	start := time.Now()
-	slow := time.AfterFunc(fetchPatience, func() { notify(s.readRequests) })
+	slow := time.AfterFunc(fetchHedgeDelay, func() { notify(s.readRequests) })
 	defer slow.Stop()
 	value, err := s.FetchFromPeer(ctx, r.from)
 	if err != nil {
@@ -254,8 +255,7 @@
 	return nil
 }
 
-// handleChange applies a value unless it is the same as the last one. Values are ordered by
-// their versions: revisions start again when the store has been restored.
+// handleChange applies a value from the store unless it is the same as the last one.
 func (s *Syncer) handleChange(kv store.KV, source string) {
 	if kv.Key != s.Key || kv.Value == nil || bytes.Equal(kv.Value, s.stored) {
 		return
