--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -85,8 +85,8 @@
 		OnRead: func(recs []*message.Record) {
 			a.update(func(c *serving.Core) { c.ApplyStored(a.Now(), recs) })
 		},
-		OnOwnRecord: func(r *message.Record) {
-			a.update(func(c *serving.Core) { c.RestoreOwnRecord(a.Now(), r) })
+		OnOwnRecord: func(r *message.Record, current bool) {
+			a.update(func(c *serving.Core) { c.RestoreOwnRecord(a.Now(), r, current) })
 		},
 		Checkpoint: func() *message.Checkpoint {
 			a.mu.Lock()
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -102,8 +102,8 @@
 		OnRead: func(recs []*message.Record) {
 			b.update(func(c *forwarding.Core) { c.ApplyStored(b.Now(), recs) })
 		},
-		OnOwnRecord: func(r *message.Record) {
-			b.update(func(c *forwarding.Core) { c.RestoreOwnRecord(b.Now(), r) })
+		OnOwnRecord: func(r *message.Record, current bool) {
+			b.update(func(c *forwarding.Core) { c.RestoreOwnRecord(b.Now(), r, current) })
 		},
 		Checkpoint:    func() *message.Checkpoint { return nil },
 		OnCheckpoint:  func(*message.Checkpoint) {},
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -310,10 +310,13 @@
 }
 
 // RestoreOwnRecord applies the record that an earlier process of this instance stored:
-// this process reports with a higher incarnation.
-func (c *Core) RestoreOwnRecord(now instant.Instant, r *message.Record) {
+// this process reports with a higher incarnation. current is false if the store may have
+// been restored from a copy since.
+func (c *Core) RestoreOwnRecord(now instant.Instant, r *message.Record, current bool) {
 	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
-	c.Members.MarkSettled(now)
+	if current {
+		c.Members.MarkSettled(now)
+	}
 }
 
 // ApplyStored applies all member records of the store.
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -111,12 +111,13 @@
 func (t *Table) IsLoaded() bool { return t.loaded }
 
 // IsSettled reports whether the table contains all live members: the store has been
-// read, and either it still held this instance's previous record, so it has not lost
+// read, and either it still held this instance's current record, so it has not lost
 // the others, or all live members have had time to write theirs.
 func (t *Table) IsSettled(now instant.Instant) bool { return t.loaded && now >= t.settledAt }
 
 // MarkSettled marks the table as settled once the store has been read. It is called if
-// the store still held the record of an earlier process of this instance.
+// the store still held the record of an earlier process of this instance and has not been
+// restored from a copy since.
 func (t *Table) MarkSettled(now instant.Instant) { t.settledAt = now }
 
 // Member returns the member with an instance, nil if there is none.
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -60,8 +60,10 @@
 	Record func() *message.Record
 	// OnRead is called with the records of all other instances after each read.
 	OnRead func([]*message.Record)
-	// OnOwnRecord is called with the record of an earlier process of the instance.
-	OnOwnRecord func(*message.Record)
+	// OnOwnRecord is called with the record of an earlier process of the instance. current is
+	// false if the store may have been restored from a copy since the record was written:
+	// the record may be outdated, and later records of any instance may be missing.
+	OnOwnRecord func(rec *message.Record, current bool)
 	// Checkpoint returns the flows to store for the next process, nil if there are none.
 	Checkpoint func() *message.Checkpoint
 	// OnCheckpoint is called with the checkpoint of an earlier process of the instance.
@@ -270,10 +272,11 @@
 // adoptEntry reuses the entry and the lease of an earlier process of the instance,
 // which saves a new lease and a write.
 func (r *Registry) adoptEntry(kv store.KV, rec *message.Record) {
-	r.OnOwnRecord(rec)
+	current := store.Era(rec.Era) == r.store.Era()
+	r.OnOwnRecord(rec, current)
 	r.checkpoints.unread = rec.Service != ""
 	r.revision, r.lease, r.nextRenewal = kv.Revision, kv.Lease, time.Now()
-	r.writePending = kv.Lease == 0 || !r.isCurrent(rec)
+	r.writePending = kv.Lease == 0 || !current || !r.matches(rec)
 }
 
 // checkEntry compares the entry of a restored store with this process. Only an entry under
@@ -283,12 +286,12 @@
 		r.lease = 0
 	}
 	r.revision, r.nextRenewal = kv.Revision, time.Now()
-	r.writePending = r.lease == 0 || !r.isCurrent(rec)
+	r.writePending = r.lease == 0 || !r.matches(rec)
 }
 
-// isCurrent reports whether a stored record tells other processes what they have to know of
+// matches reports whether a stored record tells other processes what they have to know of
 // this one.
-func (r *Registry) isCurrent(rec *message.Record) bool {
+func (r *Registry) matches(rec *message.Record) bool {
 	current := r.Record()
 	return rec.Service == current.Service && rec.DataCentre == current.DataCentre && isUpstreamLeaving(rec.State) == isUpstreamLeaving(current.State)
 }
@@ -336,7 +339,9 @@
 		}
 		r.lease, r.nextRenewal = id, time.Now().Add(renewInterval)
 	}
-	value, err := proto.Marshal(r.Record())
+	rec := r.Record()
+	rec.Era = int64(r.store.Era())
+	value, err := proto.Marshal(rec)
 	if err != nil {
 		return eris.Wrap(err, "record")
 	}
--- a/internal/relay/registry/registry_test.go
+++ b/internal/relay/registry/registry_test.go
@@ -74,7 +74,7 @@
 			f.restored = append(f.restored, cp)
 		},
 		OnStoreHealth: func(bool) {},
-		OnOwnRecord: func(rec *message.Record) {
+		OnOwnRecord: func(rec *message.Record, _ bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.ownIncarnations[self] = rec.Incarnation
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -10,16 +10,19 @@
 )
 
 // RestoreOwnRecord applies the record that an earlier process of this instance stored:
-// this process reports with a higher incarnation and restores the upstream's state.
-func (c *Core) RestoreOwnRecord(now instant.Instant, r *message.Record) {
+// this process reports with a higher incarnation and restores the upstream's state. current
+// is false if the store may have been restored from a copy since.
+func (c *Core) RestoreOwnRecord(now instant.Instant, r *message.Record, current bool) {
 	c.Incarnation = max(c.Incarnation, r.Incarnation+1)
-	c.Members.MarkSettled(now)
+	if current {
+		c.Members.MarkSettled(now)
+	}
 	if c.upstream.lastHeard != 0 || r.Service != c.Service {
 		return
 	}
 	// The upstream reported this to the earlier process; its next heartbeat overrides it.
 	c.upstream.Draining = r.State == message.State_StateDraining
-	c.upstream.absent = r.State == message.State_StateGone
+	c.upstream.absent = r.State == message.State_StateGone && current
 	c.updateState(now)
 }
 
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -76,7 +76,7 @@
 	codec.DecodeFromUpstream = func([]byte) (flow.Packet, bool) { return p, true }
 	c := serving.New(serving.Config{Self: 7, Service: "recuento", DataCentre: "a", Codec: codec})
 	now := instant.Instant(time.Second)
-	c.RestoreOwnRecord(now, &message.Record{Instance: 7, Service: "recuento", State: message.State_StateReady})
+	c.RestoreOwnRecord(now, &message.Record{Instance: 7, Service: "recuento", State: message.State_StateReady}, true)
 	c.ApplyStored(now, nil)
 	c.TakeOutput()
 	c.HandleUpstreamPacket(now, []byte{1})
@@ -126,3 +126,14 @@
 		})
 	}
 }
+
+// TestAbsenceBeforeRestoreIsNotBelieved guards against searches that pass over an agent whose
+// upstream has started since the copy from which the store was restored.
+func TestAbsenceBeforeRestoreIsNotBelieved(t *testing.T) {
+	for _, current := range []bool{false, true} {
+		c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: firstPacketCodec(0)})
+		now := instant.Instant(time.Second)
+		c.RestoreOwnRecord(now, &message.Record{Instance: 7, Service: "padron", State: message.State_StateGone}, current)
+		qt.Assert(t, c.Record(now).State == message.State_StateGone, qt.Equals, current)
+	}
+}
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -109,7 +109,9 @@
 		if e := w.entries[p.IP]; e != nil && e.expiresAt > w.now && e.record.Incarnation < start {
 			w.handleOwnEntry(p, e.record)
 		}
-		w.entries[p.IP] = &entry{w.record(p), w.now.Add(entryTTL)}
+		own := w.record(p)
+		own.Era = w.storeEra
+		w.entries[p.IP] = &entry{own, w.now.Add(entryTTL)}
 		var recs []*message.Record
 		for ip, e := range w.entries {
 			if ip != p.IP && e.expiresAt > w.now {
@@ -132,12 +134,12 @@
 
 func (w *World) handleOwnEntry(p *Process, r *message.Record) {
 	if p.Agent != nil {
-		p.Agent.RestoreOwnRecord(w.now, r)
+		p.Agent.RestoreOwnRecord(w.now, r, r.Era == w.storeEra)
 		if cp := w.checkpoints[p.IP]; cp != nil {
 			p.Agent.RestoreCheckpoint(cp)
 		}
 	} else {
-		p.Balancer.RestoreOwnRecord(w.now, r)
+		p.Balancer.RestoreOwnRecord(w.now, r, r.Era == w.storeEra)
 	}
 }
 
@@ -159,6 +161,7 @@
 func (w *World) CopyEntries() (restore func()) {
 	entries, checkpoints := maps.Clone(w.entries), maps.Clone(w.checkpoints)
 	return func() {
+		w.storeEra++
 		w.LoseEntries()
 		for ip, e := range entries {
 			w.entries[ip] = &entry{e.record, w.now.Add(entryTTL)}
--- a/internal/standin/relay/recovery_test.go
+++ b/internal/standin/relay/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,3 +84,36 @@
 		})
 	}
 }
+
+// TestFlowsOfAgentsMissingInTheCopyAreNotReset guards against resets of open flows whose
+// agents the restored store does not list: the others restart before them and take the
+// store's list for complete, since it has their own entries.
+func TestFlowsOfAgentsMissingInTheCopyAreNotReset(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			cfg := Registro(70 + seed)
+			cfg.Services, cfg.Callers = cfg.Services[:1], cfg.Callers[:2]
+			w := New(cfg)
+			listed := slices.Clone(w.Agents)
+			w.At(1500*time.Millisecond, func() {
+				restore := w.CopyEntries()
+				w.At(5*time.Second, restore)
+				for i := range 3 {
+					w.AddAgent(w.Services[0], i)
+				}
+			})
+			w.At(4500*time.Millisecond, func() {
+				w.Kill(w.Balancers[0])
+				for _, p := range w.Agents {
+					after := 700 * time.Millisecond
+					if !slices.Contains(listed, p) {
+						after = 1500 * time.Millisecond
+					}
+					w.Restart(p, after)
+				}
+			})
+			w.Run(12 * time.Second)
+			qt.Assert(t, w.Violations, qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -117,11 +117,13 @@
 	// Results lists the results of all finished requests.
 	Results []Result
 
-	now                  instant.Instant
-	queue                eventQueue
-	lastEventOrder       uint64
-	processes            map[flow.IP]*Process
-	entries              map[flow.IP]*entry
+	now            instant.Instant
+	queue          eventQueue
+	lastEventOrder uint64
+	processes      map[flow.IP]*Process
+	entries        map[flow.IP]*entry
+	// storeEra counts the restores of the store.
+	storeEra             int64
 	checkpoints          map[flow.IP]*message.Checkpoint
 	callerFlows          map[flow.Endpoint]*callerFlow
 	configurationVersion routes.Version
