--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -82,7 +82,10 @@
 	done          chan struct{}
 	writeRequests chan struct{}
 
-	lease          store.LeaseID
+	lease store.LeaseID
+	// leaseEra is the store's era in which the process was granted the lease or found its
+	// entry under it.
+	leaseEra       store.Era
 	revision       store.Revision
 	nextRenewal    time.Time
 	nextRead       time.Time
@@ -134,27 +137,27 @@
 
 func (r *Registry) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		r.beginEra()
 		err := r.runOnce(ctx)
 		r.reportStoreHealth(err)
-		if !r.beginEra() || err != nil {
+		if err != nil || r.store.Era() == r.era {
 			r.wait(ctx, err)
 		}
 	}
 }
 
-// beginEra reports whether the store was restored since the last call. The entry may be
-// missing or older then, and another process may have been granted the lease, so that
-// both are checked before the lease is used again.
-func (r *Registry) beginEra() bool {
+// beginEra notices that the store was restored. The entry may be missing or older then, and
+// another process may have been granted the lease, so that both are checked before the
+// lease is used again.
+func (r *Registry) beginEra() {
 	before, era := r.era, r.store.Era()
 	r.era = era
 	if before == 0 || era == before {
-		return false
+		return
 	}
 	r.Warn("StoreRestored", "By", "Registry", "Era", era, "Before", before, "Revision", r.revision, "Lease", r.lease)
 	r.nextRead, r.restored = time.Time{}, true
 	r.checkpoints.written, r.checkpoints.nextWrite = nil, time.Time{}
-	return true
 }
 
 // runOnce makes the store calls that are due. It reads the entries again after it
@@ -275,7 +278,8 @@
 	current := store.Era(rec.Era) == r.store.Era()
 	r.OnOwnRecord(rec, current)
 	r.checkpoints.unread = rec.Service != ""
-	r.revision, r.lease, r.nextRenewal = kv.Revision, kv.Lease, time.Now()
+	r.revision, r.nextRenewal = kv.Revision, time.Now()
+	r.lease, r.leaseEra = kv.Lease, r.store.Era()
 	r.writePending = kv.Lease == 0 || !current || !r.matches(rec)
 }
 
@@ -285,7 +289,7 @@
 	if kv.Lease != r.lease {
 		r.lease = 0
 	}
-	r.revision, r.nextRenewal = kv.Revision, time.Now()
+	r.revision, r.nextRenewal, r.leaseEra = kv.Revision, time.Now(), r.era
 	r.writePending = r.lease == 0 || !r.matches(rec)
 }
 
@@ -330,14 +334,16 @@
 	return nil
 }
 
-// writeEntry writes the own entry under the lease.
+// writeEntry writes the own entry under the lease. The write stays pending if the store was
+// restored meanwhile, since the lease may then be another process's.
 func (r *Registry) writeEntry(ctx context.Context) error {
-	if r.lease == 0 {
+	if r.lease == 0 || r.leaseEra != r.store.Era() {
+		era := r.store.Era()
 		id, err := r.store.Grant(ctx, leaseTTL)
 		if err != nil {
 			return err
 		}
-		r.lease, r.nextRenewal = id, time.Now().Add(renewInterval)
+		r.lease, r.leaseEra, r.nextRenewal = id, era, time.Now().Add(renewInterval)
 	}
 	rec := r.Record()
 	rec.Era = int64(r.store.Era())
@@ -355,7 +361,12 @@
 	case !ok:
 		return r.refreshRevision(ctx, nil)
 	}
-	r.revision, r.writePending = rev, false
+	r.revision = rev
+	if r.store.Era() != r.leaseEra {
+		r.lease = 0
+		return nil
+	}
+	r.writePending = false
 	r.Debug("EntryWritten", "Key", r.ownKey, "Revision", rev, "Lease", r.lease)
 	return nil
 }
