--- a/internal/customer/catalogue/catalogue.go
+++ b/internal/customer/catalogue/catalogue.go
@@ -14,9 +14,11 @@
 package catalogue
 
 import (
+	"encoding/json"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
 )
@@ -28,6 +30,19 @@
 	Stored   contract.Stored
 }
 
+// DecodeEntry decodes a contract as it is stored. modRevision is the store's revision of its
+// key.
+func DecodeEntry(name contract.Customer, value []byte, modRevision int64) (Entry, error) {
+	e := Entry{Customer: name}
+	if err := json.Unmarshal(value, &e.Stored); err != nil {
+		return e, eris.Wrap(err, "contract in the store cannot be read")
+	}
+	if e.Revision = e.Stored.Revision; e.Revision == 0 {
+		e.Revision = contract.Revision(modRevision)
+	}
+	return e, nil
+}
+
 // Version is the revision of a contract that a process has.
 type Version struct {
 	Customer contract.Customer
--- a/internal/customer/catalogue/catalogue_test.go
+++ b/internal/customer/catalogue/catalogue_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/jaytack/jaytack/internal/customer/contract"
@@ -45,3 +46,20 @@
 		}
 	})
 }
+
+func TestRevisionsOfContracts(t *testing.T) {
+	for _, test := range []struct {
+		value string
+		want  contract.Revision
+	}{
+		{`{"Revision":7}`, 7},
+		// Earlier programs wrote no revision.
+		{`{}`, 3},
+	} {
+		e, err := DecodeEntry("Registro", []byte(test.value), 3)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, e.Revision, qt.Equals, test.want)
+	}
+	_, err := DecodeEntry("Registro", []byte("{"), 3)
+	qt.Assert(t, err, qt.IsNotNil)
+}
--- a/internal/customer/contract/contract.go
+++ b/internal/customer/contract/contract.go
@@ -36,7 +36,7 @@
 	KindName string
 	// ChangeID identifies one write of a contract.
 	ChangeID string
-	// Revision is the revision that the store assigned to a committed contract.
+	// Revision orders the versions of a contract.
 	Revision int64
 	// Rate is a number of events per second.
 	Rate float64
@@ -96,6 +96,9 @@
 // applied again.
 type Stored struct {
 	Contract Contract
+	// Revision is 0 in contracts of earlier programs, which are ordered by the revisions of
+	// the store.
+	Revision Revision `json:",omitempty"`
 	Change   ChangeID
 	// Earlier lists the changes before Change, newest first.
 	Earlier []ChangeID `json:",omitempty"`
@@ -103,6 +106,13 @@
 	Written time.Time
 }
 
+// NextRevision returns the revision of a version that replaces one with the revision before.
+// It is at least the time now in Unix microseconds, so that it is also above revisions that
+// the store has lost by a restore from a copy, as far as the clocks of operators agree.
+func NextRevision(before Revision, now time.Time) Revision {
+	return max(before+1, Revision(now.UnixMicro()))
+}
+
 // MaxEarlier is the maximum number of earlier changes that a stored contract lists.
 const MaxEarlier = 16
 
--- a/internal/customer/contract/contract_test.go
+++ b/internal/customer/contract/contract_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -83,3 +84,10 @@
 	_, second := x.Add(conflicting)
 	qt.Check(t, second.Services[0].Number, qt.Equals, contract.ServiceNumber(3), qt.Commentf("numbers must not be reused"))
 }
+
+func TestNextRevisionIsAboveEarlierAndLostOnes(t *testing.T) {
+	now := time.UnixMicro(1000)
+	qt.Assert(t, contract.NextRevision(0, now), qt.Equals, contract.Revision(1000))
+	qt.Assert(t, contract.NextRevision(5, now), qt.Equals, contract.Revision(1000))
+	qt.Assert(t, contract.NextRevision(2000, now), qt.Equals, contract.Revision(2001))
+}
--- a/internal/fleet/node/storesync.go
+++ b/internal/fleet/node/storesync.go
@@ -37,15 +37,18 @@
 // syncStore reads the contracts and the keyring, then polls and, if this balancer
 // is a store watcher, watches the store until the node closes.
 func (n *Node) syncStore() {
-	n.retry(func() error { return n.readStore() })
+	n.retry(func() error { return n.readStore(0) })
 	n.retry(func() error { return n.registerSeed() })
 	n.spawn(n.pollStore)
+	after := n.storeRevision()
 	for n.ctx.Err() == nil {
 		if !n.isStoreWatcher() {
 			n.sleep(watcherCheckInterval)
 			continue
 		}
-		n.watchStore()
+		n.watchStore(after)
+		// The store may have been restored since, so that it gives revisions out again.
+		after = 0
 		n.sleep(initialRetryDelay + mathrand.N(initialRetryDelay))
 	}
 }
@@ -82,16 +85,21 @@
 	}
 }
 
-// readStore applies the keyring and all contracts after the last read revision.
-func (n *Node) readStore() error {
-	kvs, revision, err := n.Store.ListSince(n.ctx, store.ContractPrefix, n.storeRevision())
+// readStore applies the keyring and all contracts that were written after a revision of the
+// store.
+func (n *Node) readStore(after store.Revision) error {
+	kvs, revision, err := n.Store.ListSince(n.ctx, store.ContractPrefix, after)
 	if err != nil {
 		return err
 	}
+	if revision < after {
+		n.Warn("StoreRestored", "By", "Contracts", "Revision", revision, "Before", after)
+		return n.readStore(0)
+	}
 	for _, kv := range kvs {
 		n.applyKV(kv)
 	}
-	n.advanceStoreRevision(revision)
+	n.setStoreRevision(revision)
 	kv, err := n.Store.Get(n.ctx, store.KeyringKey)
 	if err != nil {
 		return err
@@ -135,8 +143,8 @@
 	if len(kv.Key) <= len(store.ContractPrefix) || kv.Key[:len(store.ContractPrefix)] != store.ContractPrefix {
 		return
 	}
-	e := catalogue.Entry{Customer: contract.Customer(kv.Key[len(store.ContractPrefix):]), Revision: contract.Revision(kv.Revision)}
-	if err := json.Unmarshal(kv.Value, &e.Stored); err != nil {
+	e, err := catalogue.DecodeEntry(contract.Customer(kv.Key[len(store.ContractPrefix):]), kv.Value, int64(kv.Revision))
+	if err != nil {
 		n.Error("ContractRejected", "Customer", e.Customer, "Revision", kv.Revision, "Reason", err)
 		return
 	}
@@ -162,7 +170,10 @@
 
 // watchStore watches until the store fails or this balancer is no longer a store
 // watcher.
-func (n *Node) watchStore() {
+//
+// It first reads what was written after a revision; the watch goes on from there and misses
+// nothing.
+func (n *Node) watchStore(after store.Revision) {
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	n.spawn(func() {
@@ -171,14 +182,13 @@
 		}
 		cancel()
 	})
-	// The watch starts at the revision read, so it misses no change since the read.
-	if err := n.readStore(); err != nil {
+	if err := n.readStore(after); err != nil {
 		n.Debug("StoreReadFailed", "Reason", err)
 		return
 	}
 	_, err := n.Store.Watch(ctx, store.Prefix, n.storeRevision(), func(kv store.KV) {
 		n.applyKV(kv)
-		n.advanceStoreRevision(kv.Revision)
+		n.setStoreRevision(kv.Revision)
 		n.notifyChange()
 	})
 	if ctx.Err() == nil {
@@ -188,33 +198,37 @@
 
 // pollStore polls the store for revisions that gossip and the watch missed.
 func (n *Node) pollStore() {
+	var indexRevision store.Revision
 	for n.ctx.Err() == nil {
 		n.mu.Lock()
 		interval := max(minPollInterval, time.Duration(len(n.core.View().Balancers()))*time.Second/maxFleetPollsPerSecond)
 		n.mu.Unlock()
 		n.sleep(interval/2 + mathrand.N(interval))
 		rev, err := n.Store.RevisionOf(n.ctx, store.IndexKey)
-		if err != nil || rev <= n.storeRevision() {
+		if err != nil || rev == indexRevision {
 			continue
 		}
-		if err := n.readStore(); err != nil {
+		if err := n.readStore(n.storeRevision()); err != nil {
 			n.Debug("StoreReadFailed", "Reason", err)
+			continue
 		}
+		indexRevision = rev
 	}
 }
 
-// storeRevision returns the revision up to which this node has read all contracts
-// from the store itself. Contracts received from peers do not change it.
+// storeRevision returns the store's revision up to which this node has read all contracts
+// from the store itself. Contracts received from peers do not change it. It falls if the
+// store is restored from a copy.
 func (n *Node) storeRevision() store.Revision {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.lastStoreRevision
 }
 
-func (n *Node) advanceStoreRevision(r store.Revision) {
+func (n *Node) setStoreRevision(r store.Revision) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.lastStoreRevision = max(n.lastStoreRevision, r)
+	n.lastStoreRevision = r
 }
 
 // Seed is the stored entry of a recently started balancer.
--- a/internal/role/operator/operator.go
+++ b/internal/role/operator/operator.go
@@ -111,11 +111,11 @@
 
 // Show returns a contract from the store.
 func (o *Operator) Show(ctx context.Context, name contract.Customer) (catalogue.Entry, error) {
-	e, err := o.read(ctx, name)
-	if err == nil && e.Revision == 0 {
+	v, err := o.read(ctx, name)
+	if err == nil && v.Revision == 0 {
 		err = ErrNotFound
 	}
-	return e, err
+	return v.Entry, err
 }
 
 // List returns all contracts, including retired ones.
@@ -126,11 +126,11 @@
 	}
 	out := make([]catalogue.Entry, 0, len(kvs))
 	for _, kv := range kvs {
-		e, err := decodeEntry(kv)
+		v, err := decodeEntry(kv)
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, e)
+		out = append(out, v.Entry)
 	}
 	return out, nil
 }
@@ -139,23 +139,26 @@
 	return store.ContractPrefix + store.Key(name)
 }
 
-func (o *Operator) read(ctx context.Context, name contract.Customer) (catalogue.Entry, error) {
+// versionedEntry is a contract and the store's revision of its key.
+type versionedEntry struct {
+	catalogue.Entry
+	modRevision store.Revision
+}
+
+func (o *Operator) read(ctx context.Context, name contract.Customer) (versionedEntry, error) {
 	kv, err := o.Store.Get(ctx, contractKey(name))
 	if err != nil {
-		return catalogue.Entry{}, eris.Wrap(ErrStoreUnavailable, err.Error())
+		return versionedEntry{}, eris.Wrap(ErrStoreUnavailable, err.Error())
 	}
 	if kv.Revision == 0 {
-		return catalogue.Entry{Customer: name}, nil
+		return versionedEntry{Entry: catalogue.Entry{Customer: name}}, nil
 	}
 	return decodeEntry(kv)
 }
 
-func decodeEntry(kv store.KV) (catalogue.Entry, error) {
-	e := catalogue.Entry{Customer: contract.Customer(kv.Key[len(store.ContractPrefix):]), Revision: contract.Revision(kv.Revision)}
-	if err := json.Unmarshal(kv.Value, &e.Stored); err != nil {
-		return e, eris.Wrap(err, "contract in the store cannot be read")
-	}
-	return e, nil
+func decodeEntry(kv store.KV) (versionedEntry, error) {
+	e, err := catalogue.DecodeEntry(contract.Customer(kv.Key[len(store.ContractPrefix):]), kv.Value, int64(kv.Revision))
+	return versionedEntry{e, kv.Revision}, err
 }
 
 // versionedIndex is the contract index and the store revision at which it was read.
@@ -190,11 +193,12 @@
 	if base != 0 && before.Revision != base {
 		return Accepted{}, ErrConflict
 	}
-	next, err := apply(before)
+	next, err := apply(before.Entry)
 	if err != nil {
 		return Accepted{}, err
 	}
 	next.Change, next.Written = id, o.now().UTC()
+	next.Revision = contract.NextRevision(before.Revision, next.Written)
 	if before.Revision != 0 {
 		next.Earlier = append([]contract.ChangeID{before.Stored.Change}, before.Stored.Earlier...)
 		next.Earlier = next.Earlier[:min(len(next.Earlier), contract.MaxEarlier)]
@@ -208,32 +212,32 @@
 }
 
 // commit makes one compare-and-swap. retry is set if only the index changed.
-func (o *Operator) commit(ctx context.Context, before catalogue.Entry, next contract.Stored) (e catalogue.Entry, retry bool, err error) {
+func (o *Operator) commit(ctx context.Context, before versionedEntry, next contract.Stored) (e catalogue.Entry, retry bool, err error) {
 	idx, err := o.readIndex(ctx)
 	if err != nil {
-		return before, false, err
+		return before.Entry, false, err
 	}
 	newIndex, next, err := updateIndex(idx, before.Customer, next)
 	if err != nil {
-		return before, false, err
+		return before.Entry, false, err
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
-		return before, false, eris.Wrap(err, "encode contract")
+		return before.Entry, false, eris.Wrap(err, "encode contract")
 	}
 	indexValue, err := json.Marshal(newIndex)
 	if err != nil {
-		return before, false, eris.Wrap(err, "encode index")
+		return before.Entry, false, eris.Wrap(err, "encode index")
 	}
 	key := contractKey(before.Customer)
-	conditions := []store.Compare{{Key: store.IndexKey, Revision: idx.revision}, {Key: key, Revision: store.Revision(before.Revision)}}
+	conditions := []store.Compare{{Key: store.IndexKey, Revision: idx.revision}, {Key: key, Revision: before.modRevision}}
 	puts := []store.Put{{Key: store.IndexKey, Value: indexValue}, {Key: key, Value: value}}
-	rev, ok, uncertain, err := o.commitWithRetry(ctx, conditions, puts)
+	_, ok, uncertain, err := o.commitWithRetry(ctx, conditions, puts)
 	if err != nil {
-		return before, false, err
+		return before.Entry, false, err
 	}
 	if ok {
-		return catalogue.Entry{Customer: before.Customer, Revision: contract.Revision(rev), Stored: next}, false, nil
+		return catalogue.Entry{Customer: before.Customer, Revision: next.Revision, Stored: next}, false, nil
 	}
 	return o.resolveRefusedCommit(ctx, before, next, uncertain)
 }
@@ -283,21 +287,21 @@
 // resolveRefusedCommit determines why the conditions of a commit did not hold: an
 // earlier try took effect, another operator changed the contract, or only the
 // index changed, in which case the commit is to be retried.
-func (o *Operator) resolveRefusedCommit(ctx context.Context, before catalogue.Entry, next contract.Stored, uncertain bool) (catalogue.Entry, bool, error) {
+func (o *Operator) resolveRefusedCommit(ctx context.Context, before versionedEntry, next contract.Stored, uncertain bool) (catalogue.Entry, bool, error) {
 	current, err := o.read(ctx, before.Customer)
 	if err != nil {
 		if uncertain {
-			return before, false, ErrWriteUncertain
+			return before.Entry, false, ErrWriteUncertain
 		}
-		return before, false, err
+		return before.Entry, false, err
 	}
 	switch {
 	case current.Revision != 0 && current.Stored.IncludesChange(next.Change):
-		return current, false, nil
-	case current.Revision != before.Revision:
-		return current, false, ErrConflict
+		return current.Entry, false, nil
+	case current.modRevision != before.modRevision:
+		return current.Entry, false, ErrConflict
 	}
-	return before, true, nil
+	return before.Entry, true, nil
 }
 
 // Rotate adds a random key to the fleet's keyring and returns the keyring's store
--- a/internal/standin/fleet/history_test.go
+++ b/internal/standin/fleet/history_test.go
@@ -90,10 +90,13 @@
 // cannot know the revision if its answer was lost and its change was overwritten.
 func (f *Fleet) fillRevisions(t *testing.T, h *history) {
 	revisions := make(map[contract.ChangeID]contract.Revision)
+	var last contract.Revision
 	for _, kv := range f.Store.History("jaytack/contract/Registro") {
 		var s contract.Stored
 		qt.Assert(t, json.Unmarshal(kv.Value, &s), qt.IsNil)
-		revisions[s.Change] = contract.Revision(kv.ModRevision)
+		qt.Check(t, s.Revision > last, qt.IsTrue, qt.Commentf("revision %d after %d", s.Revision, last))
+		last = s.Revision
+		revisions[s.Change] = s.Revision
 	}
 	accepted := 0
 	for i, op := range h.ops {
--- a/internal/standin/storage/storage.go
+++ b/internal/standin/storage/storage.go
@@ -74,6 +74,8 @@
 	leases         map[int64]*lease
 	lastLeaseID    int64
 	history        []event
+	// restores counts the calls of Restore.
+	restores int
 }
 
 // New returns an empty store that uses now as its clock.
@@ -115,13 +117,14 @@
 	return Copy{s.revision, s.lastLeaseID, maps.Clone(s.values), maps.Clone(s.leases)}
 }
 
-// Restore puts the store back to an earlier copy: later writes are gone, and revisions and
-// leases are given out again.
+// Restore puts the store back to an earlier copy, as a restart from a backup does: later
+// writes are gone, revisions and leases are given out again, and all watches end.
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision, s.lastLeaseID, s.values, s.leases = c.revision, c.lastLeaseID, maps.Clone(c.values), maps.Clone(c.leases)
 	s.history = slices.DeleteFunc(s.history, func(e event) bool { return e.revision > c.revision })
+	s.restores++
 	s.historyChanged.Broadcast()
 }
 
--- a/internal/standin/storage/watch.go
+++ b/internal/standin/storage/watch.go
@@ -17,6 +17,7 @@
 	}
 	s.mu.Lock()
 	s.calls.Watches++
+	restores := s.restores
 	s.mu.Unlock()
 	rc := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
@@ -24,7 +25,7 @@
 	enc := json.NewEncoder(w)
 	next := 0
 	for r.Context().Err() == nil {
-		events, cut := s.awaitEvents(req.Create, &next)
+		events, cut := s.awaitEvents(req.Create, &next, restores)
 		if cut {
 			panic(http.ErrAbortHandler)
 		}
@@ -40,8 +41,8 @@
 }
 
 // awaitEvents returns the next events of a watch, or none after watchPollInterval. It
-// reports cut if faults end the watch.
-func (s *Store) awaitEvents(c watchCreate, next *int) (events []watchEvent, cut bool) {
+// reports cut if faults or a restore since the watch began end the watch.
+func (s *Store) awaitEvents(c watchCreate, next *int, restores int) (events []watchEvent, cut bool) {
 	timer := time.AfterFunc(watchPollInterval, func() {
 		s.mu.Lock()
 		s.historyChanged.Broadcast()
@@ -54,7 +55,7 @@
 	if *next >= len(s.history) {
 		s.historyChanged.Wait()
 	}
-	if s.faults.Down || s.faults.CutWatches {
+	if s.faults.Down || s.faults.CutWatches || s.restores != restores {
 		return nil, true
 	}
 	for ; *next < len(s.history); *next++ {
