--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -343,6 +343,11 @@
 // if unknown.
 func (c *Core) CustomerAgents() int { return c.customerAgents }
 
+// Keyring returns the keyring in force, without keys if there is none.
+func (c *Core) Keyring() connid.Keyring {
+	return connid.Keyring{Revision: c.keyringRev, Keys: c.keyring.Keys}
+}
+
 // Ring returns the ring of the current keys, or nil without a keyring. It seals
 // with the newest key held for at least KeyActivationDelay, else with the first.
 func (c *Core) Ring(now instant.Instant) (*connid.Ring, error) {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -221,6 +221,13 @@
 	f(n.core.View(), n.core.Catalogue())
 }
 
+// keyring returns the keyring in force, without keys if there is none.
+func (n *Node) keyring() connid.Keyring {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Keyring()
+}
+
 // KeyringRevision returns the revision of the keyring in force, 0 for none.
 func (n *Node) KeyringRevision() int64 {
 	n.mu.Lock()
--- a/internal/fleet/node/storesync.go
+++ b/internal/fleet/node/storesync.go
@@ -100,32 +100,40 @@
 		n.applyKV(kv)
 	}
 	n.setStoreRevision(revision)
+	err = n.syncKeyring()
+	n.notifyChange()
+	return err
+}
+
+// syncKeyring applies the stored keyring. It writes the fleet's first keyring if there is none,
+// and the one in force if the store has lost it by a restore from a copy: flows need its
+// keys. If several balancers write, the first commit wins and all apply its keyring.
+func (n *Node) syncKeyring() error {
 	kv, err := n.Store.Get(n.ctx, store.KeyringKey)
 	if err != nil {
 		return err
 	}
-	if kv.Revision == 0 {
-		return n.createKeyring()
-	}
 	n.applyKV(kv)
-	n.notifyChange()
-	return nil
-}
-
-// createKeyring stores the fleet's first keyring if there is none. If several
-// balancers try, the first commit wins and all apply its keyring.
-func (n *Node) createKeyring() error {
-	secret := make([]byte, connid.SecretLength)
-	_, _ = rand.Read(secret)
-	value, err := connid.Keyring{}.Rotate(secret, time.Now()).Encode()
+	ring := n.keyring()
+	switch stored, err := connid.DecodeStoredKeyring(kv.Value, int64(kv.Revision)); {
+	case ring.Revision == 0 && kv.Revision == 0:
+		secret := make([]byte, connid.SecretLength)
+		_, _ = rand.Read(secret)
+		ring = ring.Rotate(secret, time.Now())
+	case kv.Revision != 0 && (err != nil || stored.Revision >= ring.Revision):
+		return nil
+	default:
+		n.Warn("KeyringRestored", "Revision", ring.Revision, "Stored", stored.Revision)
+	}
+	value, err := ring.Encode()
 	if err != nil {
 		return err
 	}
-	_, _, err = n.Store.Commit(n.ctx, []store.Compare{{Key: store.KeyringKey}}, []store.Put{{Key: store.KeyringKey, Value: value}})
+	_, _, err = n.Store.Commit(n.ctx, []store.Compare{{Key: store.KeyringKey, Revision: kv.Revision}}, []store.Put{{Key: store.KeyringKey, Value: value}})
 	if err != nil {
 		return err
 	}
-	kv, err := n.Store.Get(n.ctx, store.KeyringKey)
+	kv, err = n.Store.Get(n.ctx, store.KeyringKey)
 	if err == nil {
 		n.applyKV(kv)
 	}
@@ -137,7 +145,12 @@
 		return
 	}
 	if kv.Key == store.KeyringKey {
-		n.applyKeyring(int64(kv.Revision), kv.Value)
+		k, err := connid.DecodeStoredKeyring(kv.Value, int64(kv.Revision))
+		if err != nil {
+			n.Warn("KeyringRejected", "Revision", kv.Revision, "Reason", err)
+			return
+		}
+		n.applyKeyring(k.Revision, kv.Value)
 		return
 	}
 	if len(kv.Key) <= len(store.ContractPrefix) || kv.Key[:len(store.ContractPrefix)] != store.ContractPrefix {
--- a/internal/flow/connid/keyring.go
+++ b/internal/flow/connid/keyring.go
@@ -11,7 +11,10 @@
 
 // Keyring is the list of keys in the store, oldest first.
 type Keyring struct {
-	Keys []DatedKey
+	// Revision orders keyrings. It is 0 in those of earlier programs, which are ordered by the
+	// revisions of the store.
+	Revision int64 `json:",omitempty"`
+	Keys     []DatedKey
 }
 
 // DatedKey is a key with its creation time.
@@ -21,7 +24,8 @@
 }
 
 // Rotate returns the keyring with a new key appended. If it was full, the oldest key
-// is removed.
+// is removed. The revision is at least the time now in Unix microseconds, so that it is also
+// above revisions that the store has lost by a restore from a copy.
 func (k Keyring) Rotate(secret []byte, now time.Time) Keyring {
 	id := KeyID(0)
 	if n := len(k.Keys); n > 0 {
@@ -32,7 +36,7 @@
 	if len(keys) > MaxKeys {
 		keys = keys[len(keys)-MaxKeys:]
 	}
-	return Keyring{keys}
+	return Keyring{max(k.Revision+1, now.UnixMicro()), keys}
 }
 
 // Encode returns the keyring in its stored format, JSON.
@@ -47,6 +51,16 @@
 	return k, err
 }
 
+// DecodeStoredKeyring decodes a keyring from the store. modRevision is the store's revision
+// of its key.
+func DecodeStoredKeyring(b []byte, modRevision int64) (Keyring, error) {
+	k, err := DecodeKeyring(b)
+	if k.Revision == 0 {
+		k.Revision = modRevision
+	}
+	return k, err
+}
+
 // Ring returns a ring of all keys that seals with the key active. It fails as NewRing
 // does.
 func (k Keyring) Ring(active KeyID) (*Ring, error) {
--- a/internal/role/operator/operator.go
+++ b/internal/role/operator/operator.go
@@ -232,7 +232,7 @@
 	key := contractKey(before.Customer)
 	conditions := []store.Compare{{Key: store.IndexKey, Revision: idx.revision}, {Key: key, Revision: before.modRevision}}
 	puts := []store.Put{{Key: store.IndexKey, Value: indexValue}, {Key: key, Value: value}}
-	_, ok, uncertain, err := o.commitWithRetry(ctx, conditions, puts)
+	ok, uncertain, err := o.commitWithRetry(ctx, conditions, puts)
 	if err != nil {
 		return before.Entry, false, err
 	}
@@ -265,20 +265,20 @@
 // commitWithRetry commits and, while the result is unknown, retries until the store
 // answers or ctx ends. The conditions can hold only once, so a retry never writes
 // twice. uncertain reports that the result of an earlier try is unknown.
-func (o *Operator) commitWithRetry(ctx context.Context, conditions []store.Compare, puts []store.Put) (rev store.Revision, ok, uncertain bool, err error) {
+func (o *Operator) commitWithRetry(ctx context.Context, conditions []store.Compare, puts []store.Put) (ok, uncertain bool, err error) {
 	for {
-		rev, ok, err = o.Store.Commit(ctx, conditions, puts)
+		_, ok, err = o.Store.Commit(ctx, conditions, puts)
 		if err == nil {
-			return rev, ok, uncertain, nil
+			return ok, uncertain, nil
 		}
 		if errors.Is(err, store.ErrOutcomeUnknown) {
 			uncertain = true
 		} else if !uncertain {
-			return 0, false, false, eris.Wrap(ErrStoreUnavailable, err.Error())
+			return false, false, eris.Wrap(ErrStoreUnavailable, err.Error())
 		}
 		select {
 		case <-ctx.Done():
-			return 0, false, uncertain, ErrWriteUncertain
+			return false, uncertain, ErrWriteUncertain
 		case <-time.After(retryInterval):
 		}
 	}
@@ -304,8 +304,8 @@
 	return before.Entry, true, nil
 }
 
-// Rotate adds a random key to the fleet's keyring and returns the keyring's store
-// revision and encoded value.
+// Rotate adds a random key to the fleet's keyring and returns the keyring's revision and
+// encoded value.
 func (o *Operator) Rotate(ctx context.Context) (revision int64, value []byte, err error) {
 	kv, err := o.Store.Get(ctx, store.KeyringKey)
 	if err != nil {
@@ -313,7 +313,7 @@
 	}
 	var ring connid.Keyring
 	if kv.Revision != 0 {
-		if ring, err = connid.DecodeKeyring(kv.Value); err != nil {
+		if ring, err = connid.DecodeStoredKeyring(kv.Value, int64(kv.Revision)); err != nil {
 			return 0, nil, eris.Wrap(err, "keyring in the store cannot be read")
 		}
 	}
@@ -321,20 +321,21 @@
 	if _, err := rand.Read(secret); err != nil {
 		return 0, nil, eris.Wrap(err, "generate random secret")
 	}
-	if value, err = ring.Rotate(secret, o.now().UTC()).Encode(); err != nil {
+	ring = ring.Rotate(secret, o.now().UTC())
+	if value, err = ring.Encode(); err != nil {
 		return 0, nil, eris.Wrap(err, "encode keyring")
 	}
 	conditions := []store.Compare{{Key: store.KeyringKey, Revision: kv.Revision}}
-	rev, ok, uncertain, err := o.commitWithRetry(ctx, conditions, []store.Put{{Key: store.KeyringKey, Value: value}})
+	ok, uncertain, err := o.commitWithRetry(ctx, conditions, []store.Put{{Key: store.KeyringKey, Value: value}})
 	if err != nil {
 		return 0, nil, err
 	}
 	if ok {
-		return int64(rev), value, nil
+		return ring.Revision, value, nil
 	}
 	current, err := o.Store.Get(ctx, store.KeyringKey)
 	if err == nil && uncertain && slices.Equal(current.Value, value) {
-		return int64(current.Revision), value, nil
+		return ring.Revision, value, nil
 	}
 	return 0, nil, ErrConflict
 }
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -21,8 +22,11 @@
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/customer/contract"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
+	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/process/eventlog"
 	"github.com/jaytack/jaytack/internal/process/settings"
+	"github.com/jaytack/jaytack/internal/process/store"
+	"github.com/jaytack/jaytack/internal/role/balancer"
 	"github.com/jaytack/jaytack/internal/standin/caller"
 	"github.com/jaytack/jaytack/internal/standin/storage"
 	"github.com/jaytack/jaytack/internal/standin/upstream"
@@ -430,3 +434,37 @@
 	}
 	qt.Assert(t, inForce(), qt.Equals, len(f.Balancers))
 }
+
+// TestKeyringAfterRestoreKeepsLostKeys guards against flows that end because a rotation after a
+// restore of the store replaces keys of rotations that the restore has lost, and against
+// rotations that are taken for older ones.
+func TestKeyringAfterRestoreKeepsLostKeys(t *testing.T) {
+	f := newFleet(t, 47, nil)
+	ctx := context.Background()
+	await := func(what string, done func() bool) {
+		for end := time.Now().Add(inForceWithin); !done(); time.Sleep(10 * time.Millisecond) {
+			qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%s", what))
+		}
+	}
+	stored := func() connid.Keyring {
+		kv, err := f.Operator.Store.Get(ctx, store.KeyringKey)
+		qt.Assert(t, err, qt.IsNil)
+		k, err := connid.DecodeKeyring(kv.Value)
+		qt.Assert(t, err, qt.IsNil)
+		return k
+	}
+	rotate := func() {
+		rev, _, err := f.Operator.Rotate(ctx)
+		qt.Assert(t, err, qt.IsNil)
+		await("rotation is in force", func() bool {
+			return !slices.ContainsFunc(f.Balancers, func(b *balancer.Balancer) bool { return b.KeyringRevision() != rev })
+		})
+	}
+	c := f.Store.Copy()
+	rotate()
+	want := stored()
+	f.Store.Restore(c)
+	await("lost key is back", func() bool { return len(stored().Keys) == len(want.Keys) })
+	rotate()
+	qt.Assert(t, stored().Keys[:len(want.Keys)], qt.DeepEquals, want.Keys)
+}
