--- a/internal/fleet/node/storesync.go
+++ b/internal/fleet/node/storesync.go
@@ -115,15 +115,16 @@
 	}
 	n.applyKV(kv)
 	ring := n.keyring()
-	switch stored, err := connid.DecodeStoredKeyring(kv.Value, int64(kv.Revision)); {
-	case ring.Revision == 0 && kv.Revision == 0:
+	stored, err := connid.DecodeStoredKeyring(kv.Value, int64(kv.Revision))
+	if kv.Revision != 0 && (err != nil || stored.Revision >= ring.Revision) {
+		return nil
+	}
+	if ring.Revision != 0 {
+		n.Warn("KeyringRestored", "Revision", ring.Revision, "Stored", stored.Revision)
+	} else {
 		secret := make([]byte, connid.SecretLength)
 		_, _ = rand.Read(secret)
 		ring = ring.Rotate(secret, time.Now())
-	case kv.Revision != 0 && (err != nil || stored.Revision >= ring.Revision):
-		return nil
-	default:
-		n.Warn("KeyringRestored", "Revision", ring.Revision, "Stored", stored.Revision)
 	}
 	value, err := ring.Encode()
 	if err != nil {
