--- a/internal/experiment/bench/route.go
+++ b/internal/experiment/bench/route.go
@@ -26,6 +26,7 @@
 	"github.com/jaytack/jaytack/internal/process/sockets"
 	"github.com/jaytack/jaytack/internal/standin/caller"
 	"github.com/jaytack/jaytack/internal/standin/fleet"
+	"github.com/jaytack/jaytack/internal/standin/loopback"
 )
 
 // Sizes of the target fleet and of the route experiment.
@@ -40,13 +41,15 @@
 	throughputRounds = 3
 	handshakeTime    = 2 * time.Second
 	handshakeClients = 16
-	routeNetwork     = 60
 	neighbourTarget  = 0.98
 	neighbourTime    = 3 * time.Second
 	floodRate        = 20_000        // new flows per second, ten times the contract's limit
 	unlimitedRate    = 1_000_000_000 // new flows per second; never reached
 )
 
+// routeNetwork is the network of the experiment.
+const routeNetwork loopback.Network = 60
+
 // targetTable returns a balancer's routing table at the size of the target fleet,
 // its addresses and one agent for each address.
 func targetTable() (*routing.Table, []netip.AddrPort, []netip.AddrPort, error) {
@@ -167,7 +170,7 @@
 	if err := f.AwaitReady(10 * time.Second); err != nil {
 		return nil, err
 	}
-	sink, err := sockets.Listen(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, routeNetwork, 9, 1}), 7100))
+	sink, err := sockets.Listen(netip.AddrPortFrom(routeNetwork.Addr(9, 1), 7100))
 	if err != nil {
 		return nil, err
 	}
@@ -213,11 +216,11 @@
 
 // startRelay starts a relay that only copies datagrams from one socket to another.
 func startRelay(to netip.AddrPort) (at netip.AddrPort, stop func(), err error) {
-	in, err := sockets.Listen(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, routeNetwork, 9, 2}), 7000))
+	in, err := sockets.Listen(netip.AddrPortFrom(routeNetwork.Addr(9, 2), 7000))
 	if err != nil {
 		return at, nil, err
 	}
-	out, err := sockets.Listen(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, routeNetwork, 9, 2}), 7100))
+	out, err := sockets.Listen(netip.AddrPortFrom(routeNetwork.Addr(9, 2), 7100))
 	if err != nil {
 		_ = in.Close()
 		return at, nil, err
--- a/internal/role/command/demo.go
+++ b/internal/role/command/demo.go
@@ -17,6 +17,7 @@
 	"github.com/jaytack/jaytack/internal/process/settings"
 	"github.com/jaytack/jaytack/internal/standin/caller"
 	"github.com/jaytack/jaytack/internal/standin/fleet"
+	"github.com/jaytack/jaytack/internal/standin/loopback"
 	"github.com/jaytack/jaytack/internal/standin/upstream"
 )
 
@@ -76,7 +77,7 @@
 		return err
 	}
 	f, err := fleet.New(fleet.Config{
-		Network: c.Network, Balancers: demoBalancers, Contracts: contracts, Targets: demoTargets(),
+		Network: loopback.Network(c.Network), Balancers: demoBalancers, Contracts: contracts, Targets: demoTargets(),
 		ServiceTime: demoServiceTime, Linger: demoLinger, Seed: c.Seed,
 	}, eventlog.New(logWriter, eventlog.Info, 100))
 	if err != nil {
--- a/internal/role/command/faults_test.go
+++ b/internal/role/command/faults_test.go
@@ -33,7 +33,7 @@
 // longer than any lease, SIGCONT, lost datagrams, shed requests, and truncated and
 // late answers.
 func TestProcessesKilledAndFrozen(t *testing.T) {
-	s := newSystem(t, 42)
+	s := newSystem(t)
 	s.startAll()
 	for i := 1; i <= 3; i++ {
 		s.post(fmt.Sprintf("http://NET.3.%d:8080/standin/faults", i),
@@ -70,7 +70,7 @@
 // and requests continue, and a new balancer learns the contracts and the keyring
 // from its peers.
 func TestProcessesStoreOutage(t *testing.T) {
-	s := newSystem(t, 43)
+	s := newSystem(t)
 	s.startAll()
 	report := s.startCallers(testLoads)
 	time.Sleep(500 * time.Millisecond)
@@ -100,7 +100,7 @@
 // commit is lost and its watches are cut: the contract still comes into force on
 // every balancer.
 func TestProcessesStoreLostAfterAccept(t *testing.T) {
-	s := newSystem(t, 44)
+	s := newSystem(t)
 	s.startPlatform(`"NET.10.1:4433"`)
 	s.startBalancer(1)
 	s.startBalancer(2)
@@ -112,7 +112,7 @@
 }
 
 func TestProcessesSecondOperatorIsTold(t *testing.T) {
-	s := newSystem(t, 45)
+	s := newSystem(t)
 	s.startPlatform(`"NET.10.1:4433"`)
 	file := s.writeFile("registro.yaml", testContract)
 	out, status := s.runOperatorCommand("contract", "create", file)
--- a/internal/role/command/process_test.go
+++ b/internal/role/command/process_test.go
@@ -20,6 +20,7 @@
 	"github.com/jaytack/jaytack/client"
 	"github.com/jaytack/jaytack/internal/standin/caller"
 	"github.com/jaytack/jaytack/internal/standin/fabric"
+	"github.com/jaytack/jaytack/internal/standin/loopback"
 )
 
 var buildBinary = sync.OnceValues(func() (string, error) {
@@ -38,16 +39,19 @@
 // system runs jaytack processes on loopback addresses.
 type system struct {
 	tb      testing.TB
-	network int
+	network loopback.Network
 	dir     string
 	binary  string
 	procs   map[string]*exec.Cmd
 	logs    map[string]*bytes.Buffer
 }
 
-func newSystem(tb testing.TB, network int) *system {
+func newSystem(tb testing.TB) *system {
 	binary, err := buildBinary()
 	qt.Assert(tb, err, qt.IsNil)
+	network, release, err := loopback.Reserve()
+	qt.Assert(tb, err, qt.IsNil)
+	tb.Cleanup(release)
 	s := &system{tb: tb, network: network, dir: tb.TempDir(), binary: binary, procs: make(map[string]*exec.Cmd), logs: make(map[string]*bytes.Buffer)}
 	tb.Cleanup(s.killAll)
 	s.run("keys", "generate", s.dir)
@@ -280,7 +284,7 @@
 }
 
 func TestProcessesPlannedChange(t *testing.T) {
-	s := newSystem(t, 41)
+	s := newSystem(t)
 	s.startAll()
 	report := s.startCallers(testLoads)
 	time.Sleep(2 * time.Second)
--- a/internal/role/command/soak_test.go
+++ b/internal/role/command/soak_test.go
@@ -114,7 +114,7 @@
 func TestSoak(t *testing.T) {
 	duration, seed := soakDuration(t), soakSeed(t)
 	t.Logf("seed %d, time %v", seed, duration)
-	injector := &faultInjector{system: newSystem(t, 46), random: rand.New(rand.NewPCG(seed, seed)), faultCounts: make(map[string]int)}
+	injector := &faultInjector{system: newSystem(t), random: rand.New(rand.NewPCG(seed, seed)), faultCounts: make(map[string]int)}
 	injector.startPlatform(`"NET.10.1:4433"`)
 	for i := 1; i <= soakBalancers; i++ {
 		injector.startBalancer(i)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -1,7 +1,7 @@
 // Package fleet runs balancers, agents and stand-ins in one process on loopback.
 //
-// The demo, the bench and tests use it. Each fleet has its own network 127.N.0.0/16,
-// so several fleets can run at the same time.
+// The demo, the bench and tests use it. Each fleet has its own network 127.N.0.0/16, fixed
+// or from package loopback, so several fleets can run at the same time.
 //
 // # Usage
 //
@@ -31,6 +31,7 @@
 	"github.com/jaytack/jaytack/internal/role/balancer"
 	"github.com/jaytack/jaytack/internal/role/operator"
 	"github.com/jaytack/jaytack/internal/standin/fabric"
+	"github.com/jaytack/jaytack/internal/standin/loopback"
 	"github.com/jaytack/jaytack/internal/standin/storage"
 )
 
@@ -54,8 +55,7 @@
 
 // Config configures a fleet.
 type Config struct {
-	// Network is the second octet of every address.
-	Network   byte
+	Network   loopback.Network
 	Balancers int
 	Contracts []contract.Contract
 	// Targets is the number of upstreams per service.
@@ -164,7 +164,7 @@
 }
 
 func (f *Fleet) addrPort(third, fourth byte, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, f.cfg.Network, third, fourth}), port)
+	return netip.AddrPortFrom(f.cfg.Network.Addr(third, fourth), port)
 }
 
 func (f *Fleet) storeAddress() netip.AddrPort  { return f.addrPort(0, 1, storePort) }
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -24,6 +24,7 @@
 	"github.com/jaytack/jaytack/internal/process/eventlog"
 	"github.com/jaytack/jaytack/internal/process/settings"
 	"github.com/jaytack/jaytack/internal/standin/caller"
+	"github.com/jaytack/jaytack/internal/standin/loopback"
 	"github.com/jaytack/jaytack/internal/standin/storage"
 	"github.com/jaytack/jaytack/internal/standin/upstream"
 )
@@ -38,9 +39,12 @@
 	return io.Discard
 }
 
-func newFleet(t *testing.T, network byte, targets map[contract.ServiceName]int) *Fleet {
+func newFleet(t *testing.T, targets map[contract.ServiceName]int) *Fleet {
 	cs, err := examples.Contracts()
 	qt.Assert(t, err, qt.IsNil)
+	network, release, err := loopback.Reserve()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(release)
 	f, err := New(Config{
 		Network: network, Balancers: 3, Contracts: cs, Targets: targets, ServiceTime: 3 * time.Millisecond,
 		Linger: 1500 * time.Millisecond, Seed: 1,
@@ -70,7 +74,7 @@
 // is replaced, singly and two at once, a third of the upstreams drains, a contract
 // changes and the keyring rotates. JAYTACK_FEEDS sets the number of feeds.
 func TestFeedsSurvivePlannedChange(t *testing.T) {
-	f := newFleet(t, 51, map[contract.ServiceName]int{"padron": 6})
+	f := newFleet(t, map[contract.ServiceName]int{"padron": 6})
 	n := feedCount(t)
 	callers := caller.New([]settings.Load{
 		{Service: "padron", Kind: "HerdFeed", Path: "/feed/herds", Feed: true, Flows: n, Address: f.Address("padron")},
@@ -155,7 +159,7 @@
 // TestAgentReplacementWaitsForFeeds drains an agent that has an open feed: it gets no
 // new flows and stops only after the feed has ended.
 func TestAgentReplacementWaitsForFeeds(t *testing.T) {
-	f := newFleet(t, 52, map[contract.ServiceName]int{"padron": 2})
+	f := newFleet(t, map[contract.ServiceName]int{"padron": 2})
 	c := f.client("padron")
 	defer c.Close()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -190,7 +194,7 @@
 // with open flows and a feed starts to drain, or an upstream reports that it drains,
 // no new requests run there.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
-	f := newFleet(t, 50, map[contract.ServiceName]int{"padron": 4})
+	f := newFleet(t, map[contract.ServiceName]int{"padron": 4})
 	c := f.client("padron")
 	defer c.Close()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -227,7 +231,7 @@
 // TestGarbageEndsNoProcess sends random datagrams to every kind of socket: they are
 // counted and dropped, and the fleet keeps answering requests.
 func TestGarbageEndsNoProcess(t *testing.T) {
-	f := newFleet(t, 49, map[contract.ServiceName]int{"padron": 1})
+	f := newFleet(t, map[contract.ServiceName]int{"padron": 1})
 	b := f.Balancers[0].Self().Address
 	targets := []netip.AddrPort{
 		f.Targets[0].Agent.Self().Address, b, netip.AddrPortFrom(b.Addr(), fabricPort), f.fabricAddress(), f.Address("padron"),
@@ -267,7 +271,7 @@
 // TestAddressTakenByAnotherCustomer retires a contract and gives its address to another
 // customer: no datagram of the old flows may reach the new service.
 func TestAddressTakenByAnotherCustomer(t *testing.T) {
-	f := newFleet(t, 56, map[contract.ServiceName]int{"padron": 2})
+	f := newFleet(t, map[contract.ServiceName]int{"padron": 2})
 	ctx := context.Background()
 	c := f.client("padron")
 	defer c.Close()
@@ -343,7 +347,7 @@
 // TestOperatorsRace changes one contract concurrently while answers of the store are
 // lost: the history must contain each accepted change and no change reported as lost.
 func TestOperatorsRace(t *testing.T) {
-	f := newFleet(t, 57, nil)
+	f := newFleet(t, nil)
 	ctx := context.Background()
 	var mu sync.Mutex
 	accepted := make(map[contract.ChangeID]contract.Revision)
--- a/internal/standin/fleet/history_test.go
+++ b/internal/standin/fleet/history_test.go
@@ -68,7 +68,7 @@
 // TestContractHistory checks promise P9: while operators change and read one contract
 // concurrently and answers of the store are lost, the history is linearizable.
 func TestContractHistory(t *testing.T) {
-	f := newFleet(t, 58, nil)
+	f := newFleet(t, nil)
 	h := &history{start: time.Now()}
 	var wg sync.WaitGroup
 	for i := range 5 {
@@ -188,7 +188,7 @@
 // continue while agents are killed and replaced, and upstreams shed requests, cut
 // connections and answer late.
 func TestSubmissionHistory(t *testing.T) {
-	f := newFleet(t, 59, map[contract.ServiceName]int{"recuento": 3})
+	f := newFleet(t, map[contract.ServiceName]int{"recuento": 3})
 	for _, target := range f.Targets {
 		target.Upstream.SetFaults(upstream.Faults{ShedPerMille: 200, CutPerMille: 50, CutBodyPerMille: 50, FewBytesPerMille: 50, LatePerMille: 20, LateMillis: 100})
 	}
--- a/internal/standin/fleet/restore_test.go
+++ b/internal/standin/fleet/restore_test.go
@@ -21,7 +21,7 @@
 // TestContractsAfterRestoreAreInForceInTime guards against contracts that are taken for older
 // ones after the store came back from a copy, since their revisions are lower.
 func TestContractsAfterRestoreAreInForceInTime(t *testing.T) {
-	f := newFleet(t, 46, nil)
+	f := newFleet(t, nil)
 	ctx := context.Background()
 	change := func(bodyBytes int64) {
 		before, err := f.Operator.Show(ctx, "Registro")
@@ -60,7 +60,7 @@
 // restore of the store replaces keys of rotations that the restore has lost, and against
 // rotations that are taken for older ones.
 func TestKeyringAfterRestoreKeepsLostKeys(t *testing.T) {
-	f := newFleet(t, 47, nil)
+	f := newFleet(t, nil)
 	ctx := context.Background()
 	await := func(what string, done func() bool) {
 		for end := time.Now().Add(inForceWithin); !done(); time.Sleep(10 * time.Millisecond) {
--- a/internal/standin/fleet/submission_test.go
+++ b/internal/standin/fleet/submission_test.go
@@ -19,7 +19,7 @@
 // TestPlannedStopCutsNothing checks promise P7: agents are replaced in turn while
 // submissions run, and no submission ends as unknown.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	f := newFleet(t, 53, map[contract.ServiceName]int{"recuento": 3})
+	f := newFleet(t, map[contract.ServiceName]int{"recuento": 3})
 	callers := caller.New([]settings.Load{
 		{Service: "recuento", Kind: "CountSubmission", Path: "/counts", Post: true, Bytes: 100, Flows: 30, Every: contract.Duration(20 * time.Millisecond), Address: f.Address("recuento")},
 	}, f.TLS)
@@ -54,7 +54,7 @@
 // TestKeyOnlyCallers covers callers that send only an Idempotency-Key: retries on new
 // flows, the home killed between two attempts, and a malformed key.
 func TestKeyOnlyCallers(t *testing.T) {
-	f := newFleet(t, 54, map[contract.ServiceName]int{"recuento": 3})
+	f := newFleet(t, map[contract.ServiceName]int{"recuento": 3})
 	submit := func(key, id string) client.Answer {
 		c := f.client("recuento")
 		defer c.Close()
@@ -108,7 +108,7 @@
 // it was closed and replaced at the same address: the outcome must be Unknown, and the
 // submission must not run again.
 func TestTicketsAfterTheAgentIsGone(t *testing.T) {
-	f := newFleet(t, 55, map[contract.ServiceName]int{"recuento": 2})
+	f := newFleet(t, map[contract.ServiceName]int{"recuento": 2})
 	c := f.client("recuento")
 	defer c.Close()
 	tickets, err := c.Do(context.Background(), http.MethodPost, "/.well-known/jaytack/tickets", nil, nil)
@@ -141,7 +141,7 @@
 // TestOnlyIdempotentRequestsAreHedged makes upstreams answer some requests late: lookups
 // are hedged, submissions never are.
 func TestOnlyIdempotentRequestsAreHedged(t *testing.T) {
-	f := newFleet(t, 48, map[contract.ServiceName]int{"padron": 3, "recuento": 3})
+	f := newFleet(t, map[contract.ServiceName]int{"padron": 3, "recuento": 3})
 	for _, target := range f.Targets {
 		target.Upstream.SetFaults(upstream.Faults{LatePerMille: 30, LateMillis: 200})
 	}
