--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -29,7 +29,7 @@
 		c.returnToHome(now, p, m)
 		return
 	}
-	if c.state == message.State_StateGone || f == nil && m.KnownOnly {
+	if c.state == message.State_StateGone || f == nil && m.KnownOnly && c.knowsAllFlows(now) {
 		c.returnToHome(now, p, m)
 		return
 	}
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -127,6 +127,46 @@
 	}
 }
 
+// TestRestartedOwnerDeniesNoFlowOfAnUnnamedService guards against the reset of an open flow
+// whose route does not name its service: the agent that holds it has restarted with an empty
+// table, so that its ignorance is no denial.
+func TestRestartedOwnerDeniesNoFlowOfAnUnnamedService(t *testing.T) {
+	tests := []struct {
+		name      string
+		age       time.Duration
+		delivered int
+	}{
+		{"Restarted", time.Second, 1},
+		{"OlderThanAllFlows", flow.DefaultLifetime, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			codec := firstPacketCodec(0)
+			codec.DecodeFromCaller = func([]byte) (flow.Packet, bool) {
+				return flow.Packet{Flow: id, Flags: flow.Ack, Seq: 1, AckSeq: 1001, Len: 100}, true
+			}
+			now := instant.Instant(2 * flow.DefaultLifetime)
+			c := serving.New(serving.Config{
+				Self: 7, Service: "padron", DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime,
+				Started: now.Add(-test.age), StartedMillis: 1000,
+			})
+			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 90, Slots: 4})
+			c.TakeOutput()
+			c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
+				Packet: []byte{1}, Step: message.Step_StepOwner, Service: "padron", DataCentre: "a", Balancer: 5, KnownOnly: true,
+			}}})
+			actions, _ := c.TakeOutput()
+			delivered := 0
+			for _, a := range actions {
+				if a.Kind == action.Deliver {
+					delivered++
+				}
+			}
+			qt.Assert(t, delivered, qt.Equals, test.delivered)
+		})
+	}
+}
+
 // TestAbsenceBeforeRestoreIsNotBelieved guards against searches that pass over an agent whose
 // upstream has started since the copy from which the store was restored.
 func TestAbsenceBeforeRestoreIsNotBelieved(t *testing.T) {
