--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -45,6 +45,9 @@
 	// SettleAfter is how long live members may be missing from the store after it
 	// lost records: they write them again within 2 s.
 	SettleAfter = 2 * time.Second
+	// maxReadGap is the time between two reads of the store above which it counts as
+	// unavailable in between: longer than the interval between reads.
+	maxReadGap = 2500 * time.Millisecond
 	// incarnationResetAfter is the time without a report after which a report with a
 	// lower incarnation is accepted: the clock of a restarted process may have been
 	// set back.
@@ -94,6 +97,9 @@
 	// ChangeCount counts the changes of members and of their states.
 	ChangeCount uint64
 	loaded      bool
+	// lastRead is when the store was last read, readableSince when the present series of
+	// reads without an outage of the store began.
+	lastRead, readableSince instant.Instant
 	// settledAt is when all live members will have had time to write their store
 	// records, 0 until that is known.
 	settledAt instant.Instant
@@ -170,7 +176,10 @@
 	if !t.loaded && t.settledAt == 0 {
 		t.settledAt = now.Add(SettleAfter)
 	}
-	t.loaded = true
+	if !t.loaded || now.Sub(t.lastRead) > maxReadGap {
+		t.readableSince = now
+	}
+	t.loaded, t.lastRead = true, now
 	for _, m := range t.members {
 		m.inStore = false
 	}
@@ -222,12 +231,17 @@
 	t.services = slices.Sorted(maps.Keys(t.agentsByService))
 }
 
-// Expire removes and returns the members that neither source has confirmed for
-// ExpireAfter. The process's own record stays.
+// Expire removes and returns the members that have not reported for ExpireAfter and that
+// the store no longer lists ExpireAfter after their record was last seen. A member whose
+// record was lost stays until the store has been readable for SettleAfter, since it has to
+// write the record again. The process's own record stays.
 func (t *Table) Expire(now instant.Instant) []*Member {
+	if t.lastRead.Sub(t.readableSince) < SettleAfter {
+		return nil
+	}
 	var expired []*Member
 	for id, m := range t.members {
-		if m.inStore || now.Sub(m.LastReport) < ExpireAfter || now.Sub(m.LastSeen) < ExpireAfter || id == t.self {
+		if m.inStore || now.Sub(m.LastReport) < ExpireAfter || t.lastRead.Sub(m.LastSeen) < ExpireAfter || id == t.self {
 			continue
 		}
 		expired = append(expired, m)
