--- a/internal/relay/flow/flow.go
+++ b/internal/relay/flow/flow.go
@@ -138,6 +138,10 @@
 // firstRetransmissionDelay is when callers first retransmit the packet that opens a flow.
 const firstRetransmissionDelay = 200 * time.Millisecond
 
+// MayBeOpenAfter is the time in processes after which another copy of a flow's first packet
+// may have opened the flow; it leaves half of the retransmission delay to the way.
+const MayBeOpenAfter = firstRetransmissionDelay / 2
+
 // DefaultLifetime is how long a flow may stay open if the settings do not say; older flows
 // may be discarded.
 const DefaultLifetime = 60 * time.Second
@@ -156,7 +160,7 @@
 // first packet is handled, because an earlier or later copy may have been accepted.
 // waited is how long this copy has been queued in all processes.
 func MayBeOpen(retransmissions uint32, waited time.Duration) bool {
-	return retransmissions > 0 || waited >= firstRetransmissionDelay/2
+	return retransmissions > 0 || waited >= MayBeOpenAfter
 }
 
 // Codec encodes and decodes packets. All fields must be set.
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -20,6 +20,7 @@
 // Tick runs the periodic tasks. It is called every TickInterval.
 func (c *Core) Tick(now instant.Instant) {
 	c.detectAbsence(now)
+	c.recordTick(now)
 	c.updateState(now)
 	if c.upstream.resetFlowsAt != 0 && now >= c.upstream.resetFlowsAt {
 		c.upstream.resetFlowsAt = 0
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -190,6 +190,8 @@
 	checkpoint *message.Checkpoint
 
 	nextAgentReport, nextBalancerReport, nextExpiry, lastTick instant.Instant
+	// resumedAt is the end of the last pause of the process, 0 if there was none.
+	resumedAt instant.Instant
 	// agentReports counts the reports to agents of the same service. reportToAll makes
 	// the next one go to all data centres.
 	agentReports int
@@ -232,6 +234,7 @@
 func (c *Core) HandleMessage(now instant.Instant, from flow.IP, e *message.Envelope) {
 	switch b := e.Body.(type) {
 	case *message.Envelope_Carried:
+		c.countUnreadTime(now, b.Carried)
 		c.handlePacket(now, from, b.Carried)
 	case *message.Envelope_Claim:
 		c.handleClaim(now, from, b.Claim.GetFlow().ID())
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -67,6 +67,43 @@
 	}
 }
 
+// TestRefusalAfterPauseResetsNoOpenFlow guards against the reset of a flow that has opened at
+// another upstream while its first packet was unread in a paused process.
+func TestRefusalAfterPauseResetsNoOpenFlow(t *testing.T) {
+	tests := []struct {
+		name      string
+		pause     time.Duration
+		tickFirst bool
+		after     time.Duration
+		want      int
+	}{
+		{"NoPause", serving.TickInterval, true, 0, 1},
+		{"BeforeTheFirstTick", time.Second, false, 0, 0},
+		{"AfterTheFirstTick", time.Second, true, 20 * time.Millisecond, 0},
+		{"LongAfter", time.Second, true, 500 * time.Millisecond, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: firstPacketCodec(0)})
+			now := instant.Instant(time.Second)
+			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Draining: true, Slots: 4})
+			c.Tick(now)
+			now = now.Add(test.pause)
+			if test.tickFirst {
+				c.Tick(now)
+			}
+			for end := now.Add(test.after); now < end; now = now.Add(20 * time.Millisecond) {
+				c.Tick(now)
+			}
+			c.TakeOutput()
+			c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
+				Packet: []byte{1}, Step: message.Step_StepHome, Service: "padron", DataCentre: "a", Balancer: 5,
+			}}})
+			qt.Assert(t, countResets(c), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestBounceOfUnknownFlowStartsNoSearch guards against a false reset after a packet
 // was delivered and bounced twice: the first bounce deletes the flow, so at the second
 // one the other services that may hold the flow are unknown.
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -119,7 +119,6 @@
 // whose upstream cannot hold flows.
 func (c *Core) detectAbsence(now instant.Instant) {
 	c.upstream.listenTime += min(now.Sub(c.lastTick), maxTickGap)
-	c.lastTick = now
 	if c.upstream.lastHeard != 0 || c.upstream.absent || c.HeartbeatEvery == 0 || c.upstream.listenTime < absentHeartbeats*c.HeartbeatEvery {
 		return
 	}
