--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -157,6 +157,10 @@
 	}
 	r.Warn("StoreRestored", "By", "Registry", "Era", era, "Before", before, "Revision", r.revision, "Lease", r.lease)
 	r.nextRead, r.restored = time.Time{}, true
+	if r.writePending {
+		// A write without an answer may have used the lease after it was given out again.
+		r.lease = 0
+	}
 	r.checkpoints.written, r.checkpoints.nextWrite = nil, time.Time{}
 }
 
