--- a/internal/role/agent/leader.go
+++ b/internal/role/agent/leader.go
@@ -35,9 +35,14 @@
 	Agent       netip.AddrPort
 	Control     netip.AddrPort
 	Incarnation connid.Incarnation
-	Epoch       uint64
+	// Epoch orders the leaders of a service. It rises with time, not with the store's
+	// revision, which may go back when the store is restored.
+	Epoch uint64
 }
 
+// nextEpoch returns the epoch of a leader that follows the one with the given epoch.
+func nextEpoch(before uint64, now time.Time) uint64 { return max(before+1, uint64(now.UnixMicro())) }
+
 // leaderElection elects the agent of a service that deduplicates submissions by
 // idempotency key. Logs, the wire protocol and the store call the leader the home.
 //
@@ -218,8 +223,14 @@
 	if err != nil {
 		return err
 	}
+	var previous leaderRecord
+	if term.Revision != 0 {
+		if err := json.Unmarshal(term.Value, &previous); err != nil {
+			return eris.Wrap(err, "stored term")
+		}
+	}
 	self := e.a.Self()
-	v := leaderRecord{self.Address, self.Control, self.Incarnation, uint64(term.Revision) + 1}
+	v := leaderRecord{self.Address, self.Control, self.Incarnation, nextEpoch(previous.Epoch, time.Now())}
 	value, err := json.Marshal(v)
 	if err != nil {
 		return err
@@ -249,13 +260,18 @@
 	return err == nil && string(kv.Value) == string(value), err
 }
 
-// observe records the leader that a peer announces or the store contains.
+// observe records the leader that a peer announces or the store contains. This agent stops
+// leading if that one was elected later: the store has then lost this agent's record.
 func (e *leaderElection) observe(control netip.AddrPort, epoch uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !control.IsValid() || epoch < e.leader.Epoch || e.lease != 0 {
+	if !control.IsValid() || epoch < e.leader.Epoch || e.lease != 0 && epoch == e.leader.Epoch {
 		return
 	}
+	if e.lease != 0 {
+		e.a.Warn("HomeLost", "Reason", "Superseded", "Epoch", e.leader.Epoch, "By", control, "ByEpoch", epoch)
+		e.lease, e.leader = 0, leaderRecord{}
+	}
 	e.leader.Control, e.leader.Epoch = control, epoch
 	e.confirmedAt = time.Now()
 }
--- a/internal/standin/fleet/restore_test.go
+++ b/internal/standin/fleet/restore_test.go
@@ -2,22 +2,30 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
 
+	"github.com/jaytack/jaytack/client"
 	"github.com/jaytack/jaytack/internal/customer/catalogue"
 	"github.com/jaytack/jaytack/internal/fleet/membership"
 	"github.com/jaytack/jaytack/internal/flow/connid"
 	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/role/balancer"
+	"github.com/jaytack/jaytack/internal/standin/upstream"
 )
 
 // inForceWithin is the time within which an accepted contract must be in force everywhere.
 const inForceWithin = 4 * time.Second
 
+// homeKnownWithin is the time within which all agents of a service know a new home: they
+// look for one 10 s after the last word of the earlier one.
+const homeKnownWithin = 25 * time.Second
+
 // TestContractsAfterRestoreAreInForceInTime guards against contracts that are taken for older
 // ones after the store came back from a copy, since their revisions are lower.
 func TestContractsAfterRestoreAreInForceInTime(t *testing.T) {
@@ -89,3 +97,50 @@
 	rotate()
 	qt.Assert(t, stored().Keys[:len(want.Keys)], qt.DeepEquals, want.Keys)
 }
+
+// TestHomeElectedAfterRestoreIsBelieved guards against agents that ignore the home of their
+// service after the store came back from a copy, since the number of its term is lower than
+// that of the last one: they would send submissions with keys to a home that is gone.
+func TestHomeElectedAfterRestoreIsBelieved(t *testing.T) {
+	f := newFleet(t, nil)
+	ctx := context.Background()
+	c := f.Store.Copy()
+	for i := range 50 {
+		_, _, err := f.Client.Commit(ctx, nil, []store.Put{{Key: "other", Value: []byte{byte(i)}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	for range 4 {
+		_, err := f.AddTarget(f.Contract("Registro"), "recuento")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	awaitHome := func() *Target {
+		for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for _, target := range f.Targets {
+				if target.Agent.IsKeyLeader() {
+					return target
+				}
+			}
+		}
+		t.Fatal("no agent is the home")
+		return nil
+	}
+	first := awaitHome()
+	first.Agent.Drain()
+	first.Agent.Close()
+	awaitHome().Agent.Close()
+	f.Store.Restore(c)
+	answered := 0
+	var last client.Answer
+	for end := time.Now().Add(homeKnownWithin); answered < 12; {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%d answered in succession, then %+v", answered, last))
+		caller := f.client("recuento")
+		key := uuid.Must(uuid.NewV7()).String()
+		a, _ := caller.Do(ctx, http.MethodPost, "/counts", []byte("12 head"), http.Header{"Idempotency-Key": {key}, upstream.HeaderSubmission: {key}})
+		caller.Close()
+		last = a
+		if answered++; a.Outcome != client.Answered {
+			answered = 0
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+}
