--- a/internal/role/agent/leader.go
+++ b/internal/role/agent/leader.go
@@ -28,7 +28,10 @@
 	acquireStagger      = 200 * time.Millisecond
 )
 
-var errKeyVersion = eris.New("key is not a UUIDv7")
+var (
+	errKeyVersion = eris.New("key is not a UUIDv7")
+	errRecordLost = eris.New("the store does not have the record of this leader")
+)
 
 // leaderRecord is the leader as it is stored, in JSON.
 type leaderRecord struct {
@@ -109,7 +112,7 @@
 		e.a.Error("ClockWrong", "Offset", e.a.ClockOffset())
 		e.resign(false)
 	case leading && time.Since(renewedAt) >= leaseRenewInterval:
-		e.renew()
+		e.renew(n)
 	case !leading && !confirmed && !leaving && e.a.ClockOffset().Abs() <= idempotency.MaxClockSkew/2:
 		if err := e.findOrAcquire(n); err != nil {
 			e.a.Debug("HomeUnknown", "Reason", err)
@@ -117,12 +120,17 @@
 	}
 }
 
-func (e *leaderElection) renew() {
+// renew renews the lease. The leader resigns if the lease has ended or if its record is not in
+// the store: a restored store may have lost the record and given the lease to another process.
+func (e *leaderElection) renew(n contract.ServiceNumber) {
 	e.mu.Lock()
-	lease := e.lease
+	lease, own := e.lease, e.leader
 	e.mu.Unlock()
 	sent := time.Now()
 	err := e.a.Store.KeepAlive(e.a.ctx, lease)
+	if err == nil {
+		err = e.checkRecord(n, own)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.lease != lease {
@@ -132,13 +140,26 @@
 	case err == nil:
 		e.renewedAt, e.confirmedAt = sent, sent
 		e.term.ValidTo = sent.Add(leaseTTL - leaseMargin)
-	case errors.Is(err, store.ErrLeaseExpired) || time.Now().After(e.term.ValidTo):
+	case errors.Is(err, store.ErrLeaseExpired) || errors.Is(err, errRecordLost) || time.Now().After(e.term.ValidTo):
 		e.lease = 0
 		e.leader = leaderRecord{}
 		e.a.Warn("HomeLost", "Reason", err)
 	}
 }
 
+// checkRecord fails with errRecordLost if the stored leader is not own.
+func (e *leaderElection) checkRecord(n contract.ServiceNumber, own leaderRecord) error {
+	kv, err := e.a.Store.Get(e.a.ctx, leaderStoreKey(n))
+	if err != nil {
+		return err
+	}
+	var v leaderRecord
+	if kv.Revision == 0 || json.Unmarshal(kv.Value, &v) != nil || v != own {
+		return errRecordLost
+	}
+	return nil
+}
+
 func leaderStoreKey(n contract.ServiceNumber) store.Key {
 	return store.HomePrefix + store.Key(strconv.Itoa(int(n))) + "/holder"
 }
--- a/internal/standin/fleet/restore_test.go
+++ b/internal/standin/fleet/restore_test.go
@@ -26,6 +26,10 @@
 // look for one 10 s after the last word of the earlier one.
 const homeKnownWithin = 25 * time.Second
 
+// homeRenewedWithin is the time within which a home has renewed its lease, or its service has
+// elected another one.
+const homeRenewedWithin = 30 * time.Second
+
 // TestContractsAfterRestoreAreInForceInTime guards against contracts that are taken for older
 // ones after the store came back from a copy, since their revisions are lower.
 func TestContractsAfterRestoreAreInForceInTime(t *testing.T) {
@@ -144,3 +148,35 @@
 		}
 	}
 }
+
+// TestHomeWithoutARecordGivesUp guards against a home that goes on after a restore of the
+// store has lost its record, because the lease that it renews was given out again. An agent
+// that asks the store would become a second home.
+func TestHomeWithoutARecordGivesUp(t *testing.T) {
+	f := newFleet(t, nil)
+	ctx := context.Background()
+	c := f.Store.Copy()
+	for range 2 {
+		_, err := f.AddTarget(f.Contract("Registro"), "recuento")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	record := func() []store.KV {
+		kvs, err := f.Client.List(ctx, store.HomePrefix)
+		qt.Assert(t, err, qt.IsNil)
+		return kvs
+	}
+	await := func(within time.Duration, what string, done func() bool) {
+		for end := time.Now().Add(within); !done(); time.Sleep(50 * time.Millisecond) {
+			qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%s", what))
+		}
+	}
+	await(readyTimeout, "home is elected", func() bool { return len(record()) > 0 })
+	// The other agent hears of the home.
+	time.Sleep(2 * time.Second)
+	f.Store.Restore(c)
+	for range 50 {
+		_, err := f.Client.Grant(ctx, time.Minute)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	await(homeRenewedWithin, "home has a record", func() bool { return len(record()) > 0 })
+}
