--- a/internal/standin/relay/random_test.go
+++ b/internal/standin/relay/random_test.go
@@ -176,16 +176,25 @@
 	367:  "a paused agent refused a flow whose first packet it had not read for a second",
 }
 
-// TestFlowsSurviveRandomFaults resets no open flow while faults overlap. It runs failedSeeds
-// and JAYTACK_SEEDS further seeds from JAYTACK_SEED on.
-func TestFlowsSurviveRandomFaults(t *testing.T) {
-	seeds := slices.Collect(maps.Keys(failedSeeds))
+// failedFlappingSeeds holds the same for TestFlowsSurviveAFlappingStore.
+var failedFlappingSeeds = map[uint64]string{
+	564: "processes settled 2 s after their first read, while the store was away",
+}
+
+// testSeeds returns the failed seeds and JAYTACK_SEEDS further ones from JAYTACK_SEED on.
+func testSeeds(t *testing.T, failed map[uint64]string) []uint64 {
+	seeds := slices.Collect(maps.Keys(failed))
 	first, n := seedSetting(t, "JAYTACK_SEED", 1), seedSetting(t, "JAYTACK_SEEDS", 20)
 	for seed := first; seed < first+n; seed++ {
 		seeds = append(seeds, seed)
 	}
 	slices.Sort(seeds)
-	for _, seed := range slices.Compact(seeds) {
+	return slices.Compact(seeds)
+}
+
+// TestFlowsSurviveRandomFaults resets no open flow while faults overlap.
+func TestFlowsSurviveRandomFaults(t *testing.T) {
+	for _, seed := range testSeeds(t, failedSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			w, faults := newRandomRun(seed, nil)
@@ -195,6 +204,41 @@
 	}
 }
 
+// flapStore makes the store lose its entries and then be available for moments only, each too
+// short for all processes to write theirs again.
+func (w *randomRun) flapStore(at time.Duration) {
+	w.At(at, func() {
+		w.StoreDown = true
+		w.LoseEntries()
+	})
+	for range 4 {
+		at += w.between(500*time.Millisecond, 3*time.Second)
+		w.At(at, func() { w.StoreDown = false })
+		at += w.between(20*time.Millisecond, 500*time.Millisecond)
+		w.At(at, func() { w.StoreDown = true })
+	}
+	w.At(at+500*time.Millisecond, func() { w.StoreDown = false })
+}
+
+// TestFlowsSurviveAFlappingStore guards against processes that take their members for complete
+// 2 s after their first read of the store, although it was away meanwhile and others could not
+// write their lost entries again.
+func TestFlowsSurviveAFlappingStore(t *testing.T) {
+	for _, seed := range testSeeds(t, failedFlappingSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w, faults := newRandomRun(seed, nil)
+			if !w.losesEntries {
+				t.Skip("pauses of this seed are too long for a store that loses entries")
+			}
+			at := w.between(firstFault, firstFault+faultPeriod)
+			w.flapStore(at)
+			w.Run(randomRunEnd)
+			qt.Check(t, w.Violations, qt.HasLen, 0, qt.Commentf("faults %v, StoreFlaps %v", faults, at))
+		})
+	}
+}
+
 func seedSetting(t *testing.T, name string, fallback uint64) uint64 {
 	text := os.Getenv(name)
 	if text == "" {
