--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -43,9 +43,9 @@
 
 // Timeouts, defaults and limits of the table.
 const (
-	// OpenIdleTimeout is how long an open flow without packets is kept: longer than
-	// upstreams keep one. The next packet of a flow that expired too early restores it.
-	OpenIdleTimeout = 30 * time.Second
+	// OpenIdleTimeout is how long an open flow without packets is kept: as long as a flow may
+	// stay open, so that a flow that is not in the table is not open.
+	OpenIdleTimeout = flow.DefaultLifetime
 	// OpeningIdleTimeout is how long a flow that has not opened is kept: longer than
 	// callers try to open one.
 	OpeningIdleTimeout = 3 * time.Second
@@ -219,6 +219,9 @@
 // Len returns the number of flows.
 func (t *Table) Len() int { return len(t.flows) }
 
+// IsFull reports whether the table has no room for further flows.
+func (t *Table) IsFull() bool { return len(t.flows) >= MaxFlows }
+
 // Load returns the numbers of open flows with (busy) and without (idle) a request in
 // progress.
 func (t *Table) Load() (busy, idle int) { return t.busy, max(t.open-t.busy, 0) }
@@ -234,7 +237,7 @@
 	f := t.flows[id]
 	if f == nil {
 		f = &Flow{ID: id, StartedAt: now}
-		if len(t.flows) < MaxFlows {
+		if !t.IsFull() {
 			t.flows[id] = f
 		}
 	}
--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -127,7 +127,7 @@
 	c.recordRoute(f, m)
 	f.Excluded = m.Excluded
 	c.expectResponse(now, &c.upstream.openingPendingSince, &c.upstream.openingPending)
-	c.deliver(now, m, p)
+	c.deliver(now, m, p, 0)
 }
 
 // rejectsNewFlows reports whether the agent accepts no new flows: its upstream drains
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -54,15 +54,16 @@
 	if p.Len > 0 {
 		c.expectResponse(now, &c.upstream.dataPendingSince, &c.upstream.dataPending)
 	}
-	c.deliver(now, m, p)
+	c.deliver(now, m, p, prober)
 }
 
 // deliver sends a packet to the upstream. While the upstream may not be listening yet,
-// the packet is also kept for redelivery.
-func (c *Core) deliver(now instant.Instant, m *message.Carried, p flow.Packet) {
+// the packet is also kept for redelivery, unless it is a probe: the prober sends it again, and
+// an upstream that is not listening holds no flow.
+func (c *Core) deliver(now instant.Instant, m *message.Carried, p flow.Packet, prober flow.IP) {
 	c.Counts.Delivered++
 	c.Emit(action.Action{Kind: action.Deliver, Flow: p.Flow, Bytes: m.Packet})
-	if c.state != message.State_StateUnknown && c.state != message.State_StateSilent {
+	if prober != 0 || c.state != message.State_StateUnknown && c.state != message.State_StateSilent {
 		return
 	}
 	if len(c.redeliveryQueue) >= maxRedeliveryPackets {
@@ -72,7 +73,7 @@
 	c.redeliveryQueue = append(c.redeliveryQueue, redeliveryPacket{now, m.Packet})
 }
 
-// handleProbe sends a claim or a denial to the prober of a flow. If it is unknown whether
+// handleProbe sends a claim or a denial to the prober of a flow. Only if it is unknown whether
 // the upstream holds the flow, it delivers the packet, and the upstream's response decides.
 func (c *Core) handleProbe(now instant.Instant, from flow.IP, p flow.Packet, m *message.Carried) {
 	f := c.flows.Get(p.Flow)
@@ -84,17 +85,17 @@
 	case f != nil && f.Phase >= flowtable.Accepted:
 		c.answerProbe(now, f, from)
 		c.handleAsOwner(now, p, m)
-	case !m.KnownOnly:
-		c.deliverFlowPacket(now, p, m, from)
 	case f == nil && c.knowsAllFlows(now):
 		c.sendDenial(now, from, p.Flow)
+	case !m.KnownOnly:
+		c.deliverFlowPacket(now, p, m, from)
 	}
 }
 
 // knowsAllFlows reports whether the table contains all flows of the upstream: the upstream
 // started after this process, or this process is older than any flow.
 func (c *Core) knowsAllFlows(now instant.Instant) bool {
-	return c.upstream.startedLater || now.Sub(c.Started) >= c.FlowLifetime
+	return (c.upstream.startedLater || now.Sub(c.Started) >= c.FlowLifetime) && !c.flows.IsFull()
 }
 
 // answerProbe sends the claim of a flow to the agent that probed for it.
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -204,6 +204,66 @@
 	}
 }
 
+// TestProbesReachNoUpstreamThatHoldsNoFlow guards against packets of open flows that searches
+// deliver to other upstreams: the agent knows all flows of its upstream, or the upstream has
+// just started and gets the probe when it listens.
+func TestProbesReachNoUpstreamThatHoldsNoFlow(t *testing.T) {
+	const heartbeatSequence = 1
+	tests := []struct {
+		name string
+		// startedBefore is how long before the agent the upstream has started.
+		startedBefore time.Duration
+		heardBefore   bool
+		delivered     int
+		denied        bool
+	}{
+		{"StartedAfterTheAgent", -time.Second, true, 0, true},
+		{"StartedLongBeforeTheAgent", time.Minute, true, 1, false},
+		{"NotHeardYet", -time.Second, false, 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			codec := firstPacketCodec(0)
+			codec.DecodeFromCaller = func([]byte) (flow.Packet, bool) {
+				return flow.Packet{Flow: id, Flags: flow.Ack, Seq: 1, AckSeq: 1001, Len: 100}, true
+			}
+			now := instant.Instant(2 * time.Second)
+			started := 2 * time.Minute
+			c := serving.New(serving.Config{
+				Self: 7, Service: "padron", DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime,
+				Started: now.Add(-time.Second), StartedMillis: started.Milliseconds(),
+			})
+			heartbeat := func() {
+				c.HandleHeartbeat(now, serving.Heartbeat{
+					Upstream: "u", Service: "padron", Born: (started - test.startedBefore).Milliseconds(), Sequence: heartbeatSequence, Slots: 4,
+				})
+			}
+			if test.heardBefore {
+				heartbeat()
+			}
+			c.TakeOutput()
+			c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
+				Packet: []byte{1}, Step: message.Step_StepProbe, Service: "padron", DataCentre: "a", Balancer: 6,
+			}}})
+			if !test.heardBefore {
+				heartbeat()
+			}
+			delivered, denied := 0, false
+			actions, _ := c.TakeOutput()
+			for _, a := range actions {
+				switch {
+				case a.Kind == action.Deliver:
+					delivered++
+				case a.Kind == action.Send && a.Message.GetDenial() != nil:
+					denied = true
+				}
+			}
+			qt.Check(t, delivered, qt.Equals, test.delivered)
+			qt.Check(t, denied, qt.Equals, test.denied)
+		})
+	}
+}
+
 // TestAbsenceBeforeRestoreIsNotBelieved guards against searches that pass over an agent whose
 // upstream has started since the copy from which the store was restored.
 func TestAbsenceBeforeRestoreIsNotBelieved(t *testing.T) {
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -16,6 +16,7 @@
 // Start starts a process that is not running, without its earlier state.
 func (w *World) Start(p *Process) {
 	p.startCount++
+	p.startedAt = w.now
 	p.Paused, p.backlog = false, nil
 	tick := forwarding.TickInterval
 	if p.Upstream == nil {
@@ -241,6 +242,30 @@
 	}
 }
 
+// recordStray records that a packet of a flow has reached an upstream that does not hold it. It
+// records a violation if the flow is open at another one whose agent runs, and only others
+// have got its packets for too long.
+func (w *World) recordStray(id flow.ID) {
+	if !w.ReportStrays {
+		return
+	}
+	for _, p := range w.Agents {
+		f := p.Upstream.flows[id]
+		if f == nil || !f.open || !p.Upstream.alive {
+			continue
+		}
+		s := w.strays[id]
+		if s == nil || !p.Running() || p.Paused || p.startedAt > s.since {
+			s = &stray{since: w.now}
+			w.strays[id] = s
+		}
+		if s.count++; s.count >= minStrays && w.now.Sub(s.since) >= maxStrayTime {
+			w.addViolation("packets of flow %v reach other upstreams than that of %v since %v", id, p.IP, time.Duration(s.since))
+			delete(w.strays, id)
+		}
+	}
+}
+
 // probeReadiness is the routers' readiness check of all balancers.
 func (w *World) probeReadiness() {
 	for _, p := range w.Balancers {
--- a/internal/standin/relay/random_test.go
+++ b/internal/standin/relay/random_test.go
@@ -32,11 +32,17 @@
 	losesEntries bool
 }
 
-// randomFaults lists the faults, which may overlap. Each begins at a time.
-var randomFaults = []struct {
+// randomFault is a kind of fault that begins at a time.
+type randomFault struct {
 	name   string
 	inject func(w *randomRun, at time.Duration)
-}{
+}
+
+// plannedWork lists the kinds of work that operators plan.
+var plannedWork = []string{"RestartAgentsInTurn", "RestartBalancersInTurn", "ReplaceUpstreams", "MoveRoute"}
+
+// randomFaults lists the faults, which may overlap.
+var randomFaults = []randomFault{
 	{"RestartAgentsInTurn", func(w *randomRun, at time.Duration) { w.stopInTurn(at, w.Agents) }},
 	{"RestartBalancersInTurn", func(w *randomRun, at time.Duration) { w.stopInTurn(at, w.Balancers) }},
 	{"ReplaceUpstreams", func(w *randomRun, at time.Duration) {
@@ -153,14 +159,15 @@
 	}
 }
 
-// newRandomRun returns a run whose faults depend on the seed only, and describes them.
-func newRandomRun(seed uint64, trace func(time.Duration, flow.IP, string, []any)) (w *randomRun, faults []string) {
+// newRandomRun returns a run whose faults, of the given kinds, depend on the seed only, and
+// describes them.
+func newRandomRun(seed uint64, kinds []randomFault) (w *randomRun, faults []string) {
 	r := rand.New(rand.NewPCG(seed, 2))
 	cfg := Registro(seed)
-	cfg.LossPerMille, cfg.Trace = []int{1, 5, 30}[r.IntN(3)], trace
+	cfg.LossPerMille = []int{1, 5, 30}[r.IntN(3)]
 	w = &randomRun{World: New(cfg), r: r, losesEntries: r.IntN(2) == 0}
 	for range 2 + r.IntN(4) {
-		f := randomFaults[r.IntN(len(randomFaults))]
+		f := kinds[r.IntN(len(kinds))]
 		at := w.between(firstFault, firstFault+faultPeriod).Round(time.Millisecond)
 		faults = append(faults, fmt.Sprint(f.name, " ", at))
 		f.inject(w, at)
@@ -197,7 +204,28 @@
 	for _, seed := range testSeeds(t, failedSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w, faults := newRandomRun(seed, nil)
+			w, faults := newRandomRun(seed, randomFaults)
+			w.Run(randomRunEnd)
+			qt.Check(t, w.Violations, qt.HasLen, 0, qt.Commentf("faults %v", faults))
+		})
+	}
+}
+
+// failedPlannedSeeds holds the same for TestPlannedWorkSendsNoPacketsAstray.
+var failedPlannedSeeds = map[uint64]string{
+	84: "agents that knew all flows of their upstream delivered probes to it",
+	72: "open: an agent that has restarted asks its upstream in two searches for one flow",
+}
+
+// TestPlannedWorkSendsNoPacketsAstray guards against searches that deliver the packets of an
+// open flow to upstreams that do not hold it, and not to its own for seconds.
+func TestPlannedWorkSendsNoPacketsAstray(t *testing.T) {
+	kinds := slices.DeleteFunc(slices.Clone(randomFaults), func(f randomFault) bool { return !slices.Contains(plannedWork, f.name) })
+	for _, seed := range testSeeds(t, failedPlannedSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w, faults := newRandomRun(seed, kinds)
+			w.ReportStrays = true
 			w.Run(randomRunEnd)
 			qt.Check(t, w.Violations, qt.HasLen, 0, qt.Commentf("faults %v", faults))
 		})
@@ -227,7 +255,7 @@
 	for _, seed := range testSeeds(t, failedFlappingSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w, faults := newRandomRun(seed, nil)
+			w, faults := newRandomRun(seed, randomFaults)
 			if !w.losesEntries {
 				t.Skip("pauses of this seed are too long for a store that loses entries")
 			}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -44,6 +44,10 @@
 	entryTTL = 9 * time.Second
 	// storeLatency is the duration of a call to the store.
 	storeLatency = 4 * time.Millisecond
+	// maxStrayTime is how long packets of an open flow may reach other upstreams only, from
+	// minStrays on.
+	maxStrayTime = 2 * time.Second
+	minStrays    = 3
 	// maxViolations limits the list of violations.
 	maxViolations = 10
 	// storeRetryInterval is how often a process retries while the store is down.
@@ -89,6 +93,7 @@
 	Paused       bool
 	service      string
 	startCount   uint64
+	startedAt    instant.Instant
 	failedProbes int
 	backlog      []func()
 }
@@ -110,6 +115,8 @@
 	Routes    []routes.Route
 	// Cut reports whether the network drops everything between two instances.
 	Cut func(from, to flow.IP) bool
+	// ReportStrays makes packets of open flows that reach other upstreams only a violation.
+	ReportStrays bool
 	// StoreDown makes the store unavailable.
 	StoreDown bool
 	// Violations lists the violated invariants, at most maxViolations.
@@ -129,6 +136,15 @@
 	configurationVersion routes.Version
 	allowedServices      map[flow.Endpoint][]string
 	codec                flow.Codec
+	// strays holds the packets of open flows that reached other upstreams since their own one
+	// got any.
+	strays map[flow.ID]*stray
+}
+
+// stray counts the packets of one flow that have reached other upstreams since a time.
+type stray struct {
+	since instant.Instant
+	count int
 }
 
 type event struct {
@@ -158,7 +174,7 @@
 		Config: cfg, Random: rand.New(rand.NewPCG(cfg.Seed, 1)), codec: Codec(), configurationVersion: 1, now: 1,
 		Cut:             func(_, _ flow.IP) bool { return false },
 		allowedServices: make(map[flow.Endpoint][]string),
-		processes:       make(map[flow.IP]*Process), entries: make(map[flow.IP]*entry), checkpoints: make(map[flow.IP]*message.Checkpoint), callerFlows: make(map[flow.Endpoint]*callerFlow),
+		processes:       make(map[flow.IP]*Process), entries: make(map[flow.IP]*entry), checkpoints: make(map[flow.IP]*message.Checkpoint), strays: make(map[flow.ID]*stray), callerFlows: make(map[flow.Endpoint]*callerFlow),
 	}
 	for i, s := range cfg.Services {
 		w.Routes = append(w.Routes, cfg.route(i, s))
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -164,6 +164,11 @@
 		u.send(header{Source: id.Address, Destination: id.Caller, Flags: flow.Syn | flow.Ack, Seq: f.sequence, Request: 1}.packet(0))
 		return
 	}
+	if f == nil {
+		u.w.recordStray(id)
+	} else if f.open {
+		delete(u.w.strays, id)
+	}
 	if f == nil && u.ResetsUnknown {
 		u.send(header{Source: id.Address, Destination: id.Caller, Flags: flow.Rst, Request: h.Request}.packet(0))
 		return
