Bound the reports of a process by its neighbours instead of the fleet

Cause: agents reported their load to every agent of their service (20 a second in the data centre, 6.7 elsewhere) and 5 times a second to every balancer, balancers 2.5 times a second to all, and each change of a member made all others report to all: the square of the fleet, 197,000 reports a second at 200 processes.

Change: an agent reports regularly to at most 8 agents of its data centre and 8 of others, by position in a ring, and to the balancers that may choose it as a home, at most 80 reports a second; each report names its interval, so that only a member that owes reports can be suspect. A balancer reports to those of its data centre, and to all while it watches the store. Starts and changes that affect homes are announced to all twice. Before a member that the store does not list is removed, it is asked for a report. A flow is placed among the agents that report to its home. A denial lists members only if the prober's digest differs, and says so if the list is cut. A flow that cannot be accepted goes back to the home that placed it. A flow that the upstream was found not to hold is not offered to it again.

--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -101,8 +101,12 @@
 	LastRequestPacket []byte
 	// Excluded lists the agents that have already rejected the new flow.
 	Excluded []uint32
+	// PlacedBy is the home that placed the new flow, 0 if unknown.
+	PlacedBy flow.IP
 	// Prober is the agent that probed for the flow and awaits a response, 0 for none.
-	Prober flow.IP
+	// ProberDigest is its digest of the agents that it probes.
+	Prober       flow.IP
+	ProberDigest uint64
 
 	upstreamSeq              uint32
 	hasUpstreamSeq           bool
--- a/internal/relay/forwarding/configuration.go
+++ b/internal/relay/forwarding/configuration.go
@@ -27,7 +27,7 @@
 // centre. The others fetch from it, since traffic between data centres costs more.
 func (c *Core) isDataCentreFetcher(now instant.Instant) bool {
 	for _, m := range c.Members.Balancers() {
-		if m.DataCentre == c.DataCentre && m.ID() < c.Self && !m.IsSuspect(now) && m.State == message.State_StateReady {
+		if m.DataCentre == c.DataCentre && m.ID() < c.Self && m.IsReporting(now) && m.State == message.State_StateReady {
 			return false
 		}
 	}
@@ -84,7 +84,7 @@
 func (c *Core) ShouldWatchConfiguration(now instant.Instant) bool {
 	watchers := 0
 	for _, m := range c.Members.Balancers() {
-		if m.ID() < c.Self && !m.IsSuspect(now) && m.State == message.State_StateReady && now < c.validUntil[m.ID()] {
+		if m.ID() < c.Self && m.IsReporting(now) && m.State == message.State_StateReady && now < c.validUntil[m.ID()] {
 			watchers++
 		}
 	}
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -35,8 +35,14 @@
 const (
 	// TickInterval is the interval between calls of Tick.
 	TickInterval = 100 * time.Millisecond
-	// reportInterval is the interval between reports to agents and other balancers.
+	// reportInterval is the interval between reports to other balancers.
 	reportInterval = 400 * time.Millisecond
+	// announcementCount is how often the start and the stop of the process are announced to
+	// all members, announcementInterval the time between two announcements.
+	announcementCount    = 2
+	announcementInterval = 500 * time.Millisecond
+	// reportRequestInterval is the interval between requests to members that may be gone.
+	reportRequestInterval = 500 * time.Millisecond
 	// hintIdleTimeout is how long an unused hint is kept.
 	hintIdleTimeout = 30 * time.Second
 	// maxHints limits the number of hints.
@@ -79,6 +85,8 @@
 // Counts holds event counters since the start of the process.
 type Counts struct {
 	Packets, ToOwner, ToHome, Resets, Dropped, Waited, Unreadable, Hints int64
+	// Reports, Announcements and ReportRequests count the messages about members.
+	Reports, Announcements, ReportRequests int64
 }
 
 type hint struct {
@@ -96,12 +104,18 @@
 	Routes  routes.Table
 	Counts  Counts
 
-	hints          map[flow.ID]*hint
-	queue          []queuedPacket
-	sequence       uint64
-	stopping       bool
-	nextReport     instant.Instant
-	nextExpiry     instant.Instant
+	hints      map[flow.ID]*hint
+	queue      []queuedPacket
+	sequence   uint64
+	stopping   bool
+	nextReport instant.Instant
+	nextExpiry instant.Instant
+	// announcementsLeft, nextAnnouncement and nextReportRequest schedule the messages to
+	// members that get no regular reports.
+	announcementsLeft                   int
+	nextAnnouncement, nextReportRequest instant.Instant
+	// audience holds the balancers that get regular reports.
+	audience       map[flow.IP]bool
 	handledChanges uint64
 	// newerVersionSince is when a newer version was first reported, 0 if none was.
 	newerVersionSince instant.Instant
@@ -116,7 +130,7 @@
 // New returns a core without members, routes or hints.
 func New(cfg Config) *Core {
 	return &Core{
-		Config: cfg, Members: membership.New(cfg.Self, cfg.DataCentre), hints: make(map[flow.ID]*hint),
+		Config: cfg, Members: membership.New(cfg.Self, cfg.DataCentre, ""), hints: make(map[flow.ID]*hint),
 		validUntil: make(map[flow.IP]instant.Instant), failedComponents: make(map[string]bool),
 	}
 }
@@ -286,7 +300,10 @@
 	if r == nil || flow.IP(r.Instance) != from || from == c.Self {
 		return
 	}
-	if !c.Members.ApplyReport(now, r) {
+	if report.ReplyWanted {
+		c.sendReport(now, from, false)
+	}
+	if !c.Members.ApplyReport(now, r, time.Duration(report.IntervalMillis)*time.Millisecond) {
 		return
 	}
 	if r.Service == "" {
@@ -298,14 +315,12 @@
 	c.handleMemberChanges(now)
 }
 
-// handleMemberChanges sends the next report early and retries queued packets if the
-// members have changed.
+// handleMemberChanges retries queued packets if the members have changed.
 func (c *Core) handleMemberChanges(now instant.Instant) {
 	if c.handledChanges == c.Members.ChangeCount {
 		return
 	}
 	c.handledChanges = c.Members.ChangeCount
-	c.nextReport = min(c.nextReport, now)
 	c.forwardQueued(now)
 }
 
@@ -324,6 +339,7 @@
 	firstRead := !c.Members.IsLoaded()
 	c.Members.ApplyStored(now, recs)
 	if firstRead {
+		c.announce(now)
 		c.LogStateChange("MembersLoaded", "Members", c.Members.Len())
 		// The first read counts as a change even if it returned no member.
 		c.handledChanges--
@@ -334,7 +350,7 @@
 // Stop makes the balancer not ready and reports that the process is stopping.
 func (c *Core) Stop(now instant.Instant) {
 	c.stopping = true
-	c.nextReport = now
+	c.announce(now)
 }
 
 // Record returns the record that the balancer reports to other processes.
@@ -359,18 +375,11 @@
 		c.nextExpiry = now.Add(expiryInterval)
 		c.expire(now)
 	}
-	if now < c.nextReport {
-		return
+	if now >= c.nextReportRequest {
+		c.nextReportRequest = now.Add(reportRequestInterval)
+		c.requestReports(now)
 	}
-	c.nextReport = now.Add(reportInterval)
-	c.sequence++
-	valid := max(c.versionValidUntil.Sub(now), 0)
-	e := &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: c.Record(), VersionValidMillis: uint32(valid / time.Millisecond)}}}
-	c.Members.ForEach(func(m *membership.Member) {
-		if m.ID() != c.Self {
-			c.Emit(action.Action{Kind: action.Send, To: m.ID(), Message: e})
-		}
-	})
+	c.sendReports(now)
 }
 
 func (c *Core) expire(now instant.Instant) {
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -4,15 +4,18 @@
 // A member is known from two sources: its own reports, which show at once that it
 // is alive, and its record in the platform's store, which survives restarts and
 // network partitions between processes. Records carry an incarnation and a
-// sequence, and the higher pair wins. A member that stops reporting is suspect: it
-// is avoided for new flows, but it may still hold flows until it reports that its
-// upstream has left or it is removed. It is removed when neither source has
-// confirmed it for ExpireAfter.
+// sequence, and the higher pair wins. To bound the messages of a large fleet, a member
+// reports regularly only to the processes that depend on its load or on its being alive,
+// and to all others only when it changes; each report names its interval. A member
+// that stops reporting is suspect: it is avoided for new flows, but it may still hold
+// flows until it reports that its upstream has left or it is removed. It is removed
+// when neither source has confirmed it for ExpireAfter and it has not answered Unconfirmed
+// members' requests for a report meanwhile.
 //
 // # Usage
 //
-//	t := membership.New(self, dataCentre)
-//	t.ApplyReport(now, record)
+//	t := membership.New(self, dataCentre, service)
+//	t.ApplyReport(now, record, interval)
 //	t.ApplyStored(now, records)
 //	home, ok := t.Home(now, service, dataCentre, id.Hash())
 //	for _, m := range t.Agents(service) {
@@ -35,10 +38,19 @@
 
 // Timeouts of members and of the table.
 const (
-	// SuspectAfter is the time without a report after which a member is suspect: ten
+	// SuspectAfter is the least time without a report after which a member is suspect: ten
 	// report intervals between agents of a service in one data centre, three between
 	// data centres.
 	SuspectAfter = 500 * time.Millisecond
+	// suspectIntervals is how many intervals without a report make a member suspect that
+	// reports less often.
+	suspectIntervals = 2
+	// minLocalHomes is the number of agents of a service in a data centre that suffices for
+	// its balancers while some of them restart.
+	minLocalHomes = 3
+	// unconfirmedAfter is the time without a report after which a member that the store
+	// does not list is asked for one: a part of ExpireAfter that leaves time for retries.
+	unconfirmedAfter = time.Second
 	// ExpireAfter is how long a member is kept that neither reports nor is in the
 	// store: 2 s for rewriting an expired store record plus one read of the store.
 	ExpireAfter = 3 * time.Second
@@ -54,6 +66,9 @@
 	incarnationResetAfter = time.Second
 )
 
+// digestSeed sets the weights of digests apart from those of flows.
+const digestSeed = 1
+
 // neverSeen is earlier than every instant of a process.
 const neverSeen = instant.Instant(-1 << 62)
 
@@ -67,6 +82,13 @@
 	LastSeen instant.Instant
 	// inStore is set if the last read of the store returned a record of the process.
 	inStore bool
+	// interval is the interval at which the member reports to this process, 0 if it
+	// reports only changes.
+	interval time.Duration
+	// expected is set if the member has to report to this process regularly. expectedSince
+	// is when that was last known to begin.
+	expected      bool
+	expectedSince instant.Instant
 }
 
 // ID returns the member's instance.
@@ -75,25 +97,53 @@
 // IsAgent reports whether the member is an agent; otherwise it is a balancer.
 func (m *Member) IsAgent() bool { return m.Service != "" }
 
-// IsSuspect reports whether the member has not reported for SuspectAfter.
-func (m *Member) IsSuspect(now instant.Instant) bool { return now.Sub(m.LastReport) > SuspectAfter }
+// IsReporting reports whether the member has reported recently.
+func (m *Member) IsReporting(now instant.Instant) bool {
+	return now.Sub(m.LastReport) <= max(SuspectAfter, suspectIntervals*m.interval)
+}
+
+// ReportsLoad reports whether the member reports regularly and has done so recently.
+func (m *Member) ReportsLoad(now instant.Instant) bool { return m.interval > 0 && m.IsReporting(now) }
+
+// IsSuspect reports whether the member reports or has to report to this process regularly
+// and its reports are overdue. Other members count as alive.
+func (m *Member) IsSuspect(now instant.Instant) bool {
+	if m.IsReporting(now) {
+		return false
+	}
+	return m.interval > 0 || m.expected && now.Sub(m.expectedSince) > SuspectAfter
+}
+
+// isUnconfirmed reports whether nothing recent shows that the member still exists.
+func (m *Member) isUnconfirmed(now instant.Instant) bool {
+	return m.IsSuspect(now) || !m.inStore && now.Sub(m.LastReport) > unconfirmedAfter
+}
 
 // AcceptsFlows reports whether the member reported that its upstream accepts new flows.
 func (m *Member) AcceptsFlows() bool { return m.State == message.State_StateReady }
 
-// isStaying reports whether the member is neither restarting, draining nor gone.
-func (m *Member) isStaying() bool {
-	return m.State != message.State_StateGone && m.State != message.State_StateRestarting && m.State != message.State_StateDraining
+// IsStaying reports whether a process in a state is neither restarting, draining nor gone,
+// so that it is preferred as a home.
+func IsStaying(s message.State) bool {
+	return s != message.State_StateGone && s != message.State_StateRestarting && s != message.State_StateDraining
 }
 
 // Table is the membership table of one process.
 type Table struct {
-	self            flow.IP
-	dataCentre      string
+	self       flow.IP
+	dataCentre string
+	// service is the service of this process's agent, empty for a balancer.
+	service         string
 	members         map[flow.IP]*Member
 	agentsByService map[string][]*Member
 	services        []string
 	balancers       []*Member
+	overlay         Overlay
+	// started lists the members whose present process has become known since TakeStarted.
+	started []flow.IP
+	// digests caches the digests of the services' agents at ChangeCount digestsAt.
+	digests   map[string]uint64
+	digestsAt uint64
 	// ChangeCount counts the changes of members and of their states.
 	ChangeCount uint64
 	loaded      bool
@@ -105,10 +155,10 @@
 	settledAt instant.Instant
 }
 
-// New returns an empty table.
-func New(self flow.IP, dataCentre string) *Table {
+// New returns an empty table of an agent of a service, or of a balancer if service is empty.
+func New(self flow.IP, dataCentre, service string) *Table {
 	return &Table{
-		self: self, dataCentre: dataCentre,
+		self: self, dataCentre: dataCentre, service: service,
 		members: make(map[flow.IP]*Member), agentsByService: make(map[string][]*Member),
 	}
 }
@@ -141,12 +191,8 @@
 // the slice.
 func (t *Table) Balancers() []*Member { return t.balancers }
 
-// ForEach calls f for every member, ordered by instance.
-func (t *Table) ForEach(f func(*Member)) {
-	for _, id := range slices.Sorted(maps.Keys(t.members)) {
-		f(t.members[id])
-	}
-}
+// IDs returns the instances of all members, sorted.
+func (t *Table) IDs() []flow.IP { return slices.Sorted(maps.Keys(t.members)) }
 
 // Len returns the number of members.
 func (t *Table) Len() int { return len(t.members) }
@@ -159,14 +205,15 @@
 	return rec.Sequence > old.Sequence
 }
 
-// ApplyReport applies a record sent by its own process and reports whether it was accepted.
-func (t *Table) ApplyReport(now instant.Instant, rec *message.Record) bool {
+// ApplyReport applies a record sent by its own process, which reports to this process
+// at an interval or, if that is 0, only changes. It reports whether the record was accepted.
+func (t *Table) ApplyReport(now instant.Instant, rec *message.Record, interval time.Duration) bool {
 	m := t.members[flow.IP(rec.Instance)]
 	if m != nil && !supersedes(rec, m.Record) && (rec.Incarnation >= m.Incarnation || now.Sub(m.LastReport) < incarnationResetAfter) {
 		return false
 	}
-	m = t.set(m, rec)
-	m.LastReport = now
+	m = t.set(now, m, rec)
+	m.LastReport, m.interval = now, interval
 	return true
 }
 
@@ -186,33 +233,61 @@
 	for _, rec := range recs {
 		m := t.members[flow.IP(rec.Instance)]
 		if m == nil || supersedes(rec, m.Record) {
-			m = t.set(m, rec)
+			m = t.set(now, m, rec)
 		}
 		m.inStore = true
 		m.LastSeen = now
 	}
 }
 
-func (t *Table) set(m *Member, rec *message.Record) *Member {
+func (t *Table) set(now instant.Instant, m *Member, rec *message.Record) *Member {
 	if m == nil {
 		m = &Member{Record: rec, LastReport: neverSeen, LastSeen: neverSeen}
 		t.members[flow.IP(rec.Instance)] = m
-		t.rebuildIndex()
+		t.started = append(t.started, m.ID())
+		t.rebuildIndex(now)
 		return m
 	}
 	old := m.Record
 	m.Record = rec
-	if old.Service != rec.Service || old.DataCentre != rec.DataCentre {
-		t.rebuildIndex()
+	if old.Incarnation != rec.Incarnation {
+		t.started = append(t.started, m.ID())
 	}
-	if old.State != rec.State {
+	if old.Service != rec.Service || old.DataCentre != rec.DataCentre || (old.State == message.State_StateGone) != (rec.State == message.State_StateGone) {
+		t.rebuildIndex(now)
+	} else if old.State != rec.State {
 		t.ChangeCount++
 	}
 	return m
 }
 
-// rebuildIndex rebuilds the lists of balancers and of agents by service.
-func (t *Table) rebuildIndex() {
+// TakeStarted returns the members whose process was unknown at the last call and has not
+// heard of this process from it yet.
+func (t *Table) TakeStarted() []flow.IP {
+	s := t.started
+	t.started = nil
+	return s
+}
+
+// Unconfirmed returns the members that have to be asked for a report before they count as
+// gone, ordered by instance. Without the store nobody is removed.
+func (t *Table) Unconfirmed(now instant.Instant) []flow.IP {
+	if !t.loaded {
+		return nil
+	}
+	var out []flow.IP
+	for id, m := range t.members {
+		if id != t.self && m.isUnconfirmed(now) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// rebuildIndex rebuilds the lists of balancers and of agents by service, the overlay and
+// the members that have to report to this process.
+func (t *Table) rebuildIndex(now instant.Instant) {
 	t.ChangeCount++
 	clear(t.agentsByService)
 	t.balancers = t.balancers[:0]
@@ -229,6 +304,63 @@
 	}
 	slices.SortFunc(t.balancers, byInstance)
 	t.services = slices.Sorted(maps.Keys(t.agentsByService))
+	if t.service != "" {
+		t.overlay = newOverlay(t.self, t.dataCentre, t.agentsByService[t.service])
+	}
+	for _, m := range t.members {
+		expected := t.isExpected(m)
+		if expected && !m.expected {
+			m.expectedSince = now
+		}
+		m.expected = expected
+	}
+}
+
+// isExpected reports whether a member has to report to this process regularly: an agent to
+// the agents that its overlay names, and to the balancers of its data centre and of those
+// that need remote homes; a balancer to those of its data centre.
+func (t *Table) isExpected(m *Member) bool {
+	switch {
+	case t.service != "":
+		return t.overlay.Reporters[m.ID()]
+	case m.DataCentre == t.dataCentre:
+		return true
+	}
+	return m.IsAgent() && t.NeedsRemoteHomes(m.Service, t.dataCentre)
+}
+
+// NeedsRemoteHomes reports whether a service has so few agents in a data centre that its
+// balancers have to know which agents elsewhere are alive.
+func (t *Table) NeedsRemoteHomes(service, dataCentre string) bool {
+	n := 0
+	for _, m := range t.agentsByService[service] {
+		if m.DataCentre == dataCentre && m.State != message.State_StateGone {
+			n++
+		}
+	}
+	return n < minLocalHomes
+}
+
+// Digest returns a digest of the agents of a service whose upstream has not left, this
+// process's own included. It is the same for the same agents, and never 0.
+func (t *Table) Digest(service string) uint64 {
+	if t.digests == nil || t.digestsAt != t.ChangeCount {
+		t.digests, t.digestsAt = make(map[string]uint64), t.ChangeCount
+	}
+	if d, ok := t.digests[service]; ok {
+		return d
+	}
+	d := uint64(0)
+	for _, m := range t.agentsByService[service] {
+		if m.State != message.State_StateGone && m.ID() != t.self {
+			d ^= flow.RendezvousWeight(digestSeed, m.ID())
+		}
+	}
+	if service == t.service {
+		d ^= flow.RendezvousWeight(digestSeed, t.self)
+	}
+	t.digests[service] = max(d, 1)
+	return max(d, 1)
 }
 
 // Expire removes and returns the members that have not reported for ExpireAfter and that
@@ -248,7 +380,7 @@
 		delete(t.members, id)
 	}
 	if len(expired) > 0 {
-		t.rebuildIndex()
+		t.rebuildIndex(now)
 	}
 	return expired
 }
@@ -275,7 +407,7 @@
 	if m.ID() == t.self || !m.IsSuspect(now) {
 		rank += 4
 	}
-	if m.isStaying() {
+	if IsStaying(m.State) {
 		rank += 2
 	}
 	if m.DataCentre == dataCentre {
--- a/internal/relay/membership/membership_test.go
+++ b/internal/relay/membership/membership_test.go
@@ -28,7 +28,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			table := New(1, "a")
+			table := New(1, "a", "")
 			table.ApplyStored(second(-100), nil)
 			for s := -98.2; s <= 0; s += 1.8 {
 				table.ApplyStored(second(s), listed)
--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -123,9 +123,10 @@
 
 // deliverFirstPacket records a new flow and delivers its first packet.
 func (c *Core) deliverFirstPacket(now instant.Instant, p flow.Packet, m *message.Carried) {
+	delete(c.disowned, p.Flow)
 	f := c.flows.RecordFirstPacket(now, p)
 	c.recordRoute(f, m)
-	f.Excluded = m.Excluded
+	f.Excluded, f.PlacedBy = m.Excluded, flow.IP(m.Home)
 	c.expectResponse(now, &c.upstream.openingPendingSince, &c.upstream.openingPending)
 	c.deliver(now, m, p, 0)
 }
@@ -140,9 +141,9 @@
 func (c *Core) redirect(now instant.Instant, p flow.Packet, m *message.Carried) {
 	c.Counts.Redirected++
 	m.Excluded = append(m.Excluded, uint32(c.Self))
-	home, ok := c.Members.Home(now, c.Service, m.DataCentre, p.Flow.Hash())
-	if !ok {
-		home = c.Self
+	home := flow.IP(m.Home)
+	if home == 0 {
+		home = c.homeOf(now, p.Flow, m.DataCentre)
 	}
 	c.sendPacket(now, home, m, message.Step_StepHome)
 }
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -100,14 +100,20 @@
 }
 
 // handleDenial records that an agent's upstream does not hold a flow.
-func (c *Core) handleDenial(now instant.Instant, from flow.IP, id flow.ID, members []uint32) {
+func (c *Core) handleDenial(now instant.Instant, from flow.IP, d *message.Denial) {
 	c.Counts.Denials++
+	id := d.GetFlow().ID()
 	s := c.owners.ActiveSearch(id)
 	if s == nil {
 		return
 	}
-	s.AddDenial(from)
-	c.probeUnlisted(now, s, members)
+	if d.GetMembersIncomplete() {
+		// The sender may know an agent that nobody has asked.
+		c.LogNotable("DenialIncomplete", "Flow", id, "Agent", from, "Listed", len(d.GetMembers()))
+	} else {
+		s.AddDenial(from)
+	}
+	c.probeUnlisted(now, s, d.GetMembers())
 	c.finishIfDenied(now, id, s)
 }
 
@@ -126,8 +132,9 @@
 
 // probe sends a packet to an agent to find out whether its upstream holds the flow.
 func (c *Core) probe(now instant.Instant, to flow.IP, m *message.Carried) {
+	c.Counts.Probes++
 	c.sendPacket(now, to, &message.Carried{
-		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
+		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true, MembersDigest: c.Members.Digest(c.Service),
 		TimeoutMillis: m.TimeoutMillis, Others: m.Others, Unnamed: m.Unnamed, OthersIncomplete: m.OthersIncomplete, KnownOnly: m.KnownOnly,
 	}, message.Step_StepProbe)
 }
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -1,11 +1,12 @@
 package serving
 
 import (
+	"time"
+
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
 	"github.com/jaytack/jaytack/internal/relay/load"
-	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
 
@@ -26,17 +27,26 @@
 	c.updateState(now)
 }
 
-// ApplyStored updates the members from all records in the store.
+// ApplyStored updates the members from all records in the store. After the first read the
+// agent announces itself to them.
 func (c *Core) ApplyStored(now instant.Instant, records []*message.Record) {
+	if !c.Members.IsLoaded() {
+		c.announce(now)
+	}
 	c.Members.ApplyStored(now, records)
 	c.handleMemberChanges(now)
 }
 
-func (c *Core) handleReport(now instant.Instant, from flow.IP, r *message.Record) {
+func (c *Core) handleReport(now instant.Instant, from flow.IP, report *message.Report) {
+	r := report.GetRecord()
 	if r == nil || flow.IP(r.Instance) != from || from == c.Self {
 		return
 	}
-	if !c.Members.ApplyReport(now, r) {
+	if report.ReplyWanted {
+		c.updateAudience(now)
+		c.newReporter(now).send(from)
+	}
+	if !c.Members.ApplyReport(now, r, time.Duration(report.IntervalMillis)*time.Millisecond) {
 		return
 	}
 	if r.Service == c.Service {
@@ -45,23 +55,17 @@
 	c.handleMemberChanges(now)
 }
 
-// handleMemberChanges schedules reports and claims to new homes, and ends searches that
-// no longer wait for any agent, if the members have changed.
+// handleMemberChanges schedules claims to new homes, and ends searches that no longer
+// wait for any agent, if the members have changed.
 func (c *Core) handleMemberChanges(now instant.Instant) {
 	if c.handledChanges == c.Members.ChangeCount {
 		return
 	}
 	c.handledChanges = c.Members.ChangeCount
 	c.homesChanged = true
-	c.scheduleReports(now)
 	c.finishDeniedSearches(now)
 }
 
-// scheduleReports makes all reports due so that new members receive one immediately.
-func (c *Core) scheduleReports(now instant.Instant) {
-	c.nextAgentReport, c.nextBalancerReport, c.reportToAll = min(c.nextAgentReport, now), min(c.nextBalancerReport, now), true
-}
-
 // sendClaimsToNewHomes sends claims for flows whose home has changed, up to maxClaimsPerTick.
 func (c *Core) sendClaimsToNewHomes(now instant.Instant) {
 	if !c.homesChanged {
@@ -93,6 +97,11 @@
 // expire removes expired flows, owners, searches and members.
 func (c *Core) expire(now instant.Instant) {
 	c.flows.Expire(now)
+	for id, since := range c.disowned {
+		if now.Sub(since) > c.FlowLifetime {
+			delete(c.disowned, id)
+		}
+	}
 	for _, id := range c.owners.Expire(now) {
 		c.LogNotable("OwnerNotFound", "Flow", id, "Members", len(c.Members.Agents(c.Service)))
 	}
@@ -102,10 +111,3 @@
 	}
 	c.handleMemberChanges(now)
 }
-
-func sinceHeard(now instant.Instant, r *membership.Member) any {
-	if r.LastReport < 0 {
-		return "Never"
-	}
-	return now.Sub(r.LastReport)
-}
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -46,7 +46,7 @@
 	f := c.flows.RecordCallerPacket(now, p)
 	c.recordRoute(f, m)
 	if prober != 0 {
-		f.Prober = prober
+		f.Prober, f.ProberDigest = prober, m.MembersDigest
 	}
 	if f.Busy() && p.Len > 0 {
 		f.LastRequestPacket = p.Bytes
@@ -78,15 +78,15 @@
 func (c *Core) handleProbe(now instant.Instant, from flow.IP, p flow.Packet, m *message.Carried) {
 	f := c.flows.Get(p.Flow)
 	if c.state == message.State_StateGone || f != nil && f.OpenedElsewhere(p) {
-		c.sendDenial(now, from, p.Flow)
+		c.sendDenial(now, from, p.Flow, m.MembersDigest)
 		return
 	}
 	switch {
 	case f != nil && f.Phase >= flowtable.Accepted:
 		c.answerProbe(now, f, from)
 		c.handleAsOwner(now, p, m)
-	case f == nil && c.knowsAllFlows(now):
-		c.sendDenial(now, from, p.Flow)
+	case f == nil && (c.knowsAllFlows(now) || c.isDisowned(p.Flow)):
+		c.sendDenial(now, from, p.Flow, m.MembersDigest)
 	case !m.KnownOnly:
 		c.deliverFlowPacket(now, p, m, from)
 	}
@@ -98,6 +98,19 @@
 	return (c.upstream.startedLater || now.Sub(c.Started) >= c.FlowLifetime) && !c.flows.IsFull()
 }
 
+// disown records that the upstream does not hold a flow.
+func (c *Core) disown(now instant.Instant, id flow.ID) {
+	if len(c.disowned) < maxDisowned {
+		c.disowned[id] = now
+	}
+}
+
+// isDisowned reports whether the upstream is known not to hold a flow.
+func (c *Core) isDisowned(id flow.ID) bool {
+	_, ok := c.disowned[id]
+	return ok
+}
+
 // answerProbe sends the claim of a flow to the agent that probed for it.
 func (c *Core) answerProbe(now instant.Instant, f *flowtable.Flow, prober flow.IP) {
 	if prober == c.Self {
@@ -108,15 +121,24 @@
 	c.sendClaim(f, prober)
 }
 
-func (c *Core) sendDenial(now instant.Instant, prober flow.IP, id flow.ID) {
+// sendDenial tells a prober that the upstream does not hold a flow, with the agents that
+// this one knows unless the prober's digest shows that it probes the same ones.
+func (c *Core) sendDenial(now instant.Instant, prober flow.IP, id flow.ID, digest uint64) {
+	d := &message.Denial{Flow: message.FlowOf(id)}
 	if prober == c.Self {
-		c.handleDenial(now, c.Self, id, nil)
+		c.handleDenial(now, c.Self, d)
 		return
 	}
-	d := &message.Denial{Flow: message.FlowOf(id)}
-	for _, r := range c.Members.Agents(c.Service) {
-		if r.State != message.State_StateGone && len(d.Members) < maxDenialMembers {
-			d.Members = append(d.Members, r.Instance)
+	if digest != c.Members.Digest(c.Service) {
+		c.Counts.ListedDenials++
+		for _, r := range c.Members.Agents(c.Service) {
+			switch {
+			case r.State == message.State_StateGone:
+			case len(d.Members) == maxDenialMembers:
+				d.MembersIncomplete = true
+			default:
+				d.Members = append(d.Members, r.Instance)
+			}
 		}
 	}
 	c.Send(prober, &message.Envelope{Body: &message.Envelope_Denial{Denial: d}})
@@ -125,11 +147,16 @@
 // returnToHome returns a packet to the flow's home since the upstream does not hold the flow.
 func (c *Core) returnToHome(now instant.Instant, p flow.Packet, m *message.Carried) {
 	c.sendHint(p.Flow, flow.IP(m.Balancer), 0)
-	home, ok := c.Members.Home(now, c.Service, m.DataCentre, p.Flow.Hash())
-	if !ok {
-		home = c.Self
+	c.sendPacket(now, c.homeOf(now, p.Flow, m.DataCentre), m, message.Step_StepReturn)
+}
+
+// homeOf returns the home of a flow whose packets arrive in a data centre, this agent if
+// no other is known.
+func (c *Core) homeOf(now instant.Instant, id flow.ID, dataCentre string) flow.IP {
+	if home, ok := c.Members.Home(now, c.Service, dataCentre, id.Hash()); ok {
+		return home
 	}
-	c.sendPacket(now, home, m, message.Step_StepReturn)
+	return c.Self
 }
 
 // HandleUpstreamPacket handles a packet from the upstream.
@@ -168,10 +195,10 @@
 	if f == nil {
 		return
 	}
-	prober := f.Prober
 	c.flows.Delete(f)
-	if prober != 0 {
-		c.sendDenial(now, prober, p.Flow)
+	if f.Prober != 0 {
+		c.disown(now, p.Flow)
+		c.sendDenial(now, f.Prober, p.Flow, f.ProberDigest)
 	}
 }
 
@@ -203,7 +230,7 @@
 	f := c.flows.Get(p.Flow)
 	m := &message.Carried{Packet: p.Bytes, Service: c.Service, DataCentre: c.DataCentre}
 	if f != nil {
-		m.Balancer, m.DataCentre, m.Excluded = uint32(f.Balancer), f.DataCentre, f.Excluded
+		m.Balancer, m.DataCentre, m.Excluded, m.Home = uint32(f.Balancer), f.DataCentre, f.Excluded, uint32(f.PlacedBy)
 		m.Others, m.Unnamed, m.OthersIncomplete = f.OtherServices, f.UnnamedServices, f.OthersIncomplete
 	}
 	switch {
@@ -220,9 +247,9 @@
 		c.sendHint(p.Flow, f.Balancer, 0)
 		c.resetFlow(p.Flow, p.AckSeq, "UpstreamLostFlow", "Age", now.Sub(f.StartedAt), "Requests", f.Requests)
 	case f != nil && f.Prober != 0:
-		prober := f.Prober
 		c.flows.Delete(f)
-		c.sendDenial(now, prober, p.Flow)
+		c.disown(now, p.Flow)
+		c.sendDenial(now, f.Prober, p.Flow, f.ProberDigest)
 	case f == nil:
 		// An earlier bounce has already ended this flow. The other services that may hold
 		// it are unknown, so a search could reset an open flow.
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -40,6 +40,7 @@
 		return
 	}
 	c.Counts.Placed++
+	m.Home = uint32(c.Self)
 	c.loads.AddPlacement(to)
 	c.owners.SetOwner(now, p.Flow, to)
 	c.LogRoutine("FlowPlaced", "Flow", p.Flow, "Agent", to, "Among", len(candidates),
@@ -47,19 +48,20 @@
 	c.sendPacket(now, to, m, message.Step_StepPlace)
 }
 
-// candidates lists the agents that may accept a new flow. Agents that have not reported
-// yet are included at a higher cost: otherwise, after many processes failed, the first
-// agents to report would get all flows.
+// candidates lists the agents that may accept a new flow: this one and those that report
+// their load to it. Agents that should but have not reported yet are included at a higher
+// cost: otherwise, after many processes failed, the first agents to report would get all
+// flows.
 func (c *Core) candidates(now instant.Instant, m *message.Carried) []load.Candidate {
 	var out []load.Candidate
-	add := func(id flow.IP, dataCentre string, state message.State, suspect bool) {
+	add := func(id flow.IP, dataCentre string, state message.State, reporting bool) {
 		if slices.Contains(m.Excluded, uint32(id)) {
 			return
 		}
 		cand := load.Candidate{Agent: id, Remote: dataCentre != m.DataCentre}
 		switch state {
 		case message.State_StateReady:
-			cand.Unconfirmed = suspect
+			cand.Unconfirmed = !reporting
 		case message.State_StateUnknown:
 			cand.Unconfirmed = true
 		case message.State_StateSilent:
@@ -67,13 +69,14 @@
 		default:
 			return
 		}
-		cand.LikelyDown = cand.LikelyDown || suspect && !c.recentlyStarted(now)
+		cand.LikelyDown = cand.LikelyDown || !reporting && !c.recentlyStarted(now)
 		out = append(out, cand)
 	}
-	add(c.Self, c.DataCentre, c.state, false)
+	add(c.Self, c.DataCentre, c.state, true)
+	reporters := c.Members.Overlay().Reporters
 	for _, r := range c.Members.Agents(c.Service) {
-		if r.ID() != c.Self {
-			add(r.ID(), r.DataCentre, r.State, r.IsSuspect(now))
+		if r.ID() != c.Self && (reporters[r.ID()] || r.ReportsLoad(now)) {
+			add(r.ID(), r.DataCentre, r.State, r.IsReporting(now))
 		}
 	}
 	return out
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -49,10 +49,18 @@
 	agentReportInterval = 50 * time.Millisecond
 	remoteReportEvery   = 3
 	// balancerReportInterval is the interval between reports to balancers: two fit into
-	// the silence after which a balancer suspects the agent.
+	// the silence after which a balancer suspects the agent. It grows with their number
+	// above maxBalancerReportRate reports a second.
 	balancerReportInterval = 200 * time.Millisecond
+	maxBalancerReportRate  = 80
+	// announcementCount is how often a change of state is announced to all that may have
+	// to know of it, announcementInterval the time between two announcements.
+	announcementCount    = 2
+	announcementInterval = 500 * time.Millisecond
 	// expiryInterval is the interval between removals of expired table entries.
 	expiryInterval = time.Second
+	// reportRequestInterval is the interval between requests to members that may be gone.
+	reportRequestInterval = 500 * time.Millisecond
 	// openingResponseTimeout and dataResponseTimeout bound how long the upstream may
 	// send nothing while a response to a first packet or to data is pending; after
 	// that its state is StateSilent.
@@ -73,6 +81,8 @@
 	leaveGracePeriod = 300 * time.Millisecond
 	// maxDenialMembers limits the members listed in a denial so that it fits a datagram.
 	maxDenialMembers = 200
+	// maxDisowned limits the flows that the upstream is known not to hold.
+	maxDisowned = 1 << 14
 	// maxRedeliveryPackets limits the packets kept for redelivery.
 	maxRedeliveryPackets = 512
 	// maxPlacements limits how often a new flow is redirected to another agent.
@@ -129,6 +139,9 @@
 // Counts holds event counters since the start of the process.
 type Counts struct {
 	Delivered, Replied, Bounced, Placed, Redirected, Waited, Refused, Searches, Claims, Denials, Resets, Unreadable, Misdirected, Overflowed int64
+	// Reports, Announcements and ReportRequests count the messages about members, Probes
+	// those of searches, ListedDenials the denials with a list of members.
+	Reports, Announcements, ReportRequests, Probes, ListedDenials int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
@@ -185,17 +198,28 @@
 	state           message.State
 	stopping        bool
 	redeliveryQueue []redeliveryPacket
+	// disowned holds the flows that the upstream has been found not to hold, and when. It
+	// will not hold them later either, unless they are opened there.
+	disowned map[flow.ID]instant.Instant
 	// checkpoint is the checkpoint of the earlier process until the upstream has reported
 	// its start, then nil.
 	checkpoint *message.Checkpoint
 
-	nextAgentReport, nextBalancerReport, nextExpiry, lastTick instant.Instant
+	nextAgentReport, nextBalancerReport, nextExpiry, nextReportRequest, lastTick instant.Instant
 	// resumedAt is the end of the last pause of the process, 0 if there was none.
 	resumedAt instant.Instant
-	// agentReports counts the reports to agents of the same service. reportToAll makes
-	// the next one go to all data centres.
-	agentReports int
-	reportToAll  bool
+	// agentReports counts the reports to agents of the same service. remoteReportDue makes
+	// the next one go to other data centres too.
+	agentReports    int
+	remoteReportDue bool
+	// audience is as of the Members.ChangeCount audienceAt.
+	audience   audience
+	audienceAt uint64
+	// startedMembers lists the processes that get a report with the next tick.
+	startedMembers []flow.IP
+	// announcementsLeft and nextAnnouncement tell when the record is announced next.
+	announcementsLeft int
+	nextAnnouncement  instant.Instant
 	// handledChanges is the Members.ChangeCount that handleMemberChanges last handled.
 	handledChanges uint64
 	// homesChanged is set if flows may have new homes that have not received a claim.
@@ -205,8 +229,8 @@
 // New returns the core of an agent that knows no other members.
 func New(cfg Config) *Core {
 	c := &Core{
-		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre),
-		owners: lookup.New(), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(),
+		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
+		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(),
 	}
 	c.updateState(0)
 	return c
@@ -239,9 +263,9 @@
 	case *message.Envelope_Claim:
 		c.handleClaim(now, from, b.Claim.GetFlow().ID())
 	case *message.Envelope_Denial:
-		c.handleDenial(now, from, b.Denial.GetFlow().ID(), b.Denial.GetMembers())
+		c.handleDenial(now, from, b.Denial)
 	case *message.Envelope_Report:
-		c.handleReport(now, from, b.Report.GetRecord())
+		c.handleReport(now, from, b.Report)
 	}
 }
 
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -5,6 +5,7 @@
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
+	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
 
@@ -150,8 +151,8 @@
 	return message.State_StateReady
 }
 
-// updateState recomputes the upstream state and schedules immediate reports if it has
-// changed.
+// updateState recomputes the upstream state. A change that affects the homes or owners of
+// flows is announced to all; others matter only to the processes that get regular reports.
 func (c *Core) updateState(now instant.Instant) {
 	s := c.computeState(now)
 	if s == c.state {
@@ -159,8 +160,12 @@
 	}
 	c.LogStateChange("UpstreamStateChanged", "State", s, "Before", c.state, "Upstream", c.upstream.Upstream, "Born", c.upstream.Born,
 		"Heard", now.Sub(c.upstream.lastHeard), "Beat", now.Sub(c.upstream.lastHeartbeat))
+	if before := c.state; membership.IsStaying(before) != membership.IsStaying(s) || before == message.State_StateGone || s == message.State_StateGone {
+		c.announce(now)
+	} else {
+		c.reportSoon(now)
+	}
 	c.state = s
-	c.nextAgentReport, c.nextBalancerReport, c.reportToAll = now, now, true
 	c.homesChanged = true
 	if s == message.State_StateGone {
 		c.finishDeniedSearches(now)
--- a/internal/standin/relay/fleets.go
+++ b/internal/standin/relay/fleets.go
@@ -38,6 +38,21 @@
 	return cfg
 }
 
+// WideRegistro returns a fleet of any size: five data centres, three balancers to seven
+// agents, four of five agents in one service, and upstreams of two slots under a load in
+// proportion to their number. Its size is the number of balancers and agents.
+func WideRegistro(seed uint64, size int) Config {
+	cfg := LargeRegistro(seed)
+	agents := size * 7 / 10
+	cfg.DataCentres, cfg.Balancers = 5, size-agents
+	cfg.Services = []Service{{"padron", agents * 4 / 5, 2, 8}, {"recuento", agents - agents*4/5, 2, 8}}
+	for i := range cfg.Callers {
+		cfg.Callers[i].Callers = cfg.Callers[i].Callers * agents / 52
+	}
+	cfg.Scale(0.7)
+	return cfg
+}
+
 // Kitambaa returns a fleet with long requests relative to their aims: 10 upstreams of two
 // services with 7 slots each. All callers but those of sheets keep flows open.
 func Kitambaa(seed uint64) Config {
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -208,6 +208,9 @@
 	if p == nil {
 		return
 	}
+	if w.Traffic != nil {
+		w.countMessage(from, to, e)
+	}
 	w.send(from, to, func() {
 		w.dispatch(p, func() {
 			if p.Balancer != nil {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -123,6 +123,8 @@
 	Violations []string
 	// Results lists the results of all finished requests.
 	Results []Result
+	// Traffic counts the messages of each process if it is not nil.
+	Traffic map[flow.IP]*Traffic
 
 	now            instant.Instant
 	queue          eventQueue
