--- a/internal/process/store/etcd.go
+++ b/internal/process/store/etcd.go
@@ -23,10 +23,11 @@
 	Key         []byte `json:"key"`
 	Value       []byte `json:"value"`
 	ModRevision int64  `json:"mod_revision,string"`
+	Lease       int64  `json:"lease,string"`
 }
 
 func (w wireKV) toKV() KV {
-	return KV{Key: Key(w.Key), Value: w.Value, Revision: Revision(w.ModRevision)}
+	return KV{Key: Key(w.Key), Value: w.Value, Revision: Revision(w.ModRevision), Lease: LeaseID(w.Lease)}
 }
 
 type header struct {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -68,8 +68,7 @@
 	Key      Key
 	Value    []byte
 	Revision Revision
-	// Lease is the lease that the key is attached to, or 0 if there is none or the
-	// gateway does not report it.
+	// Lease is the lease that the key is attached to, 0 if there is none.
 	Lease LeaseID
 }
 
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -297,7 +297,8 @@
 
 func (c *Core) handleReport(now instant.Instant, from flow.IP, report *message.Report) {
 	r := report.GetRecord()
-	if r == nil || flow.IP(r.Instance) != from || from == c.Self {
+	if r == nil || flow.IP(r.Instance) != from || from == c.Self || r.Check() != nil {
+		c.Counts.Unreadable++
 		return
 	}
 	if report.ReplyWanted {
--- a/internal/relay/message/message.go
+++ b/internal/relay/message/message.go
@@ -14,7 +14,11 @@
 
 //go:generate protoc --go_out=paths=source_relative:. message.proto
 
-import "github.com/jaytack/jaytack/internal/relay/flow"
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/jaytack/jaytack/internal/relay/flow"
+)
 
 // FlowOf converts a flow ID to its message form.
 func FlowOf(id flow.ID) *Flow {
@@ -31,3 +35,38 @@
 		Address: flow.Endpoint{IP: flow.IP(f.GetAddressIP()), Port: uint16(f.GetAddressPort())},
 	}
 }
+
+// Bounds of valid records. Other writers may leave entries with any content.
+const (
+	// maxNameBytes is the maximum length of a service's, data centre's or upstream's name.
+	maxNameBytes = 200
+	// maxIncarnation is above all start times in Unix milliseconds and below the numbers
+	// that a restart could not exceed.
+	maxIncarnation = 1 << 53
+	// maxSlots is the maximum number of requests that an upstream runs at a time.
+	maxSlots = 1 << 16
+)
+
+// ErrRecord reports a record that no process of the fleet writes.
+var ErrRecord = eris.New("record is invalid")
+
+// Check returns ErrRecord with the reason if a record names no process that can be used: its
+// instance is not the address of one, or a field is missing or out of range.
+func (r *Record) Check() error {
+	ip := flow.IP(r.GetInstance()).Addr()
+	switch {
+	case ip.IsUnspecified(), ip.IsMulticast(), ip.Is4() && ip.As4()[0] >= 240:
+		return eris.Wrapf(ErrRecord, "instance %v", ip)
+	case r.DataCentre == "":
+		return eris.Wrap(ErrRecord, "no data centre")
+	case max(len(r.Service), len(r.DataCentre), len(r.Upstream)) > maxNameBytes:
+		return eris.Wrap(ErrRecord, "a name is too long")
+	case r.Incarnation > maxIncarnation || r.Sequence > maxIncarnation:
+		return eris.Wrapf(ErrRecord, "incarnation %d, sequence %d", r.Incarnation, r.Sequence)
+	case State_name[int32(r.State)] == "":
+		return eris.Wrapf(ErrRecord, "state %d", r.State)
+	case r.Slots > maxSlots:
+		return eris.Wrapf(ErrRecord, "%d slots", r.Slots)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/registry/oddentry_test.go
@@ -0,0 +1,95 @@
+package registry
+
+import (
+	"context"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jaytack/jaytack/internal/process/store"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/message"
+)
+
+// nestedGroups returns an unknown field of a message that holds groups nested to a depth.
+func nestedGroups(depth int) []byte {
+	var b []byte
+	for range depth {
+		b = protowire.AppendTag(b, 99, protowire.StartGroupType)
+	}
+	for range depth {
+		b = protowire.AppendTag(b, 99, protowire.EndGroupType)
+	}
+	return b
+}
+
+// TestOddEntryOfAnotherWriterIsPassedOver guards against processes that end, no longer follow
+// the list, or take up members that do not exist, since another writer left an entry among
+// theirs that no process writes.
+func TestOddEntryOfAnotherWriterIsPassedOver(t *testing.T) {
+	valid := func(change func(r *message.Record)) []byte {
+		r := &message.Record{Instance: 9, Service: "padron", DataCentre: "a", Incarnation: 1, Sequence: 1}
+		change(r)
+		b, err := proto.Marshal(r)
+		qt.Assert(t, err, qt.IsNil)
+		return b
+	}
+	nothing := func(*message.Record) {}
+	odd := []struct {
+		name, key string
+		value     []byte
+	}{
+		{"Empty", "0.0.0.9", nil},
+		{"Text", "0.0.0.9", []byte(`{"service":"padron"}`)},
+		{"DeeplyNestedText", "0.0.0.9", []byte(strings.Repeat("[", 200_000))},
+		{"DeeplyNestedGroups", "0.0.0.9", append(valid(nothing), nestedGroups(100_000)...)},
+		{"OtherKey", "0.0.0.10", valid(nothing)},
+		{"PortInKey", "0.0.0.9:99999", valid(nothing)},
+		{"NoAddress", "0.0.0.0", valid(func(r *message.Record) { r.Instance = 0 })},
+		{"Broadcast", "255.255.255.255", valid(func(r *message.Record) { r.Instance = math.MaxUint32 })},
+		{"IncarnationTooLarge", "0.0.0.9", valid(func(r *message.Record) { r.Incarnation = math.MaxUint64 })},
+		{"SequenceTooLarge", "0.0.0.9", valid(func(r *message.Record) { r.Sequence = math.MaxUint64 })},
+		{"SlotsTooLarge", "0.0.0.9", valid(func(r *message.Record) { r.Slots = math.MaxUint32 })},
+		{"UnknownState", "0.0.0.9", valid(func(r *message.Record) { r.State = 99 })},
+		{"NoDataCentre", "0.0.0.9", valid(func(r *message.Record) { r.DataCentre = "" })},
+		{"LongName", "0.0.0.9", valid(func(r *message.Record) { r.Service = strings.Repeat("s", 1<<16) })},
+		{"NoLease", "0.0.0.9", valid(nothing)},
+	}
+	for _, test := range odd {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			_, _, err := f.client().Commit(context.Background(), nil, []store.Put{{Key: Prefix + store.Key(test.key), Value: test.value}})
+			qt.Assert(t, err, qt.IsNil)
+			f.start(1, 1)
+			f.start(2, 1)
+			f.waitForOther(1, 2, 5*time.Second)
+			f.waitForOther(2, 1, 5*time.Second)
+		})
+	}
+}
+
+// TestOddOwnEntryRaisesNoIncarnation guards against an incarnation that wraps around, since
+// another writer has left one entry under the key of the process: the others would then
+// take its reports for old ones.
+func TestOddOwnEntryRaisesNoIncarnation(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	value, err := proto.Marshal(&message.Record{Instance: 1, Service: "padron", DataCentre: "a", Incarnation: math.MaxUint64})
+	qt.Assert(t, err, qt.IsNil)
+	_, _, err = f.client().Commit(context.Background(), nil, []store.Put{{Key: Prefix + store.Key(flow.IP(1).String()), Value: value}})
+	qt.Assert(t, err, qt.IsNil)
+	f.start(1, 5)
+	f.waitUntil(5*time.Second, func() bool {
+		rec := f.entry(1)
+		return rec != nil && rec.Incarnation == 5
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	qt.Assert(t, f.ownIncarnations, qt.HasLen, 0)
+}
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -51,6 +51,8 @@
 	startupRetryMax = 120 * time.Millisecond
 	retryMin        = 100 * time.Millisecond
 	retryMax        = time.Second
+	// maxOddEntries limits the entries of other writers that are remembered as logged.
+	maxOddEntries = 1000
 )
 
 // Config holds the instance's address and the callbacks. All fields are set.
@@ -98,6 +100,8 @@
 	checkpoints  checkpointState
 	storeFailing bool
 	retryDelay   time.Duration
+	// oddEntries holds the revisions of the entries of other writers that have been logged.
+	oddEntries map[store.Key]store.Revision
 	// era is the store's era. restored is set until the own entry has been checked in it.
 	era      store.Era
 	restored bool
@@ -108,7 +112,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Registry{
 		Config: cfg, Logger: logger, store: st, ownKey: Prefix + store.Key(cfg.Self.String()), cancel: cancel,
-		done: make(chan struct{}), writeRequests: make(chan struct{}, 1), writePending: true,
+		done: make(chan struct{}), writeRequests: make(chan struct{}, 1), writePending: true, oddEntries: make(map[store.Key]store.Revision),
 	}
 	go func() {
 		defer close(r.done)
@@ -247,9 +251,9 @@
 	}
 	foundOwn := false
 	for _, kv := range kvs {
-		rec := &message.Record{}
-		if err := proto.Unmarshal(kv.Value, rec); err != nil || Prefix+store.Key(flow.IP(rec.Instance).String()) != kv.Key {
-			r.Warn("EntryUnreadable", "Key", kv.Key, "Revision", kv.Revision)
+		rec, err := decodeEntry(kv)
+		if err != nil {
+			r.recordOddEntry(kv, err)
 			continue
 		}
 		if kv.Key != r.ownKey {
@@ -276,6 +280,37 @@
 	return nil
 }
 
+// decodeEntry returns the record of an entry. Another writer may have left the entry, so that
+// it may hold anything; every process writes its own under a lease.
+func decodeEntry(kv store.KV) (*message.Record, error) {
+	rec := &message.Record{}
+	if err := proto.Unmarshal(kv.Value, rec); err != nil {
+		return nil, eris.Wrap(message.ErrRecord, err.Error())
+	}
+	switch {
+	case Prefix+store.Key(flow.IP(rec.Instance).String()) != kv.Key:
+		return nil, eris.Wrapf(message.ErrRecord, "instance %v", flow.IP(rec.Instance))
+	case kv.Lease == 0:
+		return nil, eris.Wrap(message.ErrRecord, "no lease")
+	}
+	return rec, rec.Check()
+}
+
+// recordOddEntry logs an entry of another writer once. One under the own key is replaced.
+func (r *Registry) recordOddEntry(kv store.KV, reason error) {
+	if kv.Key == r.ownKey && kv.Revision != r.revision {
+		r.revision, r.lease, r.writePending = kv.Revision, 0, true
+	}
+	if r.oddEntries[kv.Key] == kv.Revision {
+		return
+	}
+	if len(r.oddEntries) >= maxOddEntries {
+		clear(r.oddEntries)
+	}
+	r.oddEntries[kv.Key] = kv.Revision
+	r.Warn("EntryUnreadable", "Key", kv.Key, "Revision", kv.Revision, "Bytes", len(kv.Value), "Reason", reason)
+}
+
 // adoptEntry reuses the entry and the lease of an earlier process of the instance,
 // which saves a new lease and a write.
 func (r *Registry) adoptEntry(kv store.KV, rec *message.Record) {
--- a/internal/relay/registry/registry_test.go
+++ b/internal/relay/registry/registry_test.go
@@ -53,7 +53,7 @@
 	r := New(Config{
 		Self: self,
 		Record: func() *message.Record {
-			return &message.Record{Instance: uint32(self), Service: "padron", Incarnation: incarnation, Sequence: 1}
+			return &message.Record{Instance: uint32(self), Service: "padron", DataCentre: "a", Incarnation: incarnation, Sequence: 1}
 		},
 		OnRead: func(recs []*message.Record) {
 			f.mu.Lock()
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -39,7 +39,8 @@
 
 func (c *Core) handleReport(now instant.Instant, from flow.IP, report *message.Report) {
 	r := report.GetRecord()
-	if r == nil || flow.IP(r.Instance) != from || from == c.Self {
+	if r == nil || flow.IP(r.Instance) != from || from == c.Self || r.Check() != nil {
+		c.Counts.Unreadable++
 		return
 	}
 	if report.ReplyWanted {
--- a/internal/standin/storage/messages.go
+++ b/internal/standin/storage/messages.go
@@ -17,6 +17,7 @@
 	Key         []byte `json:"key"`
 	Value       []byte `json:"value"`
 	ModRevision int64  `json:"mod_revision,string"`
+	Lease       int64  `json:"lease,string,omitempty"`
 }
 
 type rangeResponse struct {
--- a/internal/standin/storage/storage.go
+++ b/internal/standin/storage/storage.go
@@ -253,7 +253,7 @@
 		if !inRange([]byte(k), req.Key, req.RangeEnd) || v.revision < req.MinModRevision {
 			continue
 		}
-		kv := keyValue{[]byte(k), v.data, v.revision}
+		kv := keyValue{[]byte(k), v.data, v.revision, v.lease}
 		if req.KeysOnly {
 			kv.Value = nil
 		}
--- a/internal/standin/storage/watch.go
+++ b/internal/standin/storage/watch.go
@@ -63,7 +63,7 @@
 		if e.revision < c.StartRevision || !inRange([]byte(e.key), c.Key, c.RangeEnd) {
 			continue
 		}
-		we := watchEvent{Kv: keyValue{[]byte(e.key), e.value, e.revision}}
+		we := watchEvent{Kv: keyValue{[]byte(e.key), e.value, e.revision, 0}}
 		if e.deleted {
 			we.Type = "DELETE"
 		}
