Call the store less often while nothing changes

Change: the lease is renewed every 1.8 s, which shows a lapsed entry as soon as the read of the list did; the list is read when it changes, after outages, and else at intervals that double up to 9 s. A member is removed after two reads without it. The second read at a start is a stale one. A balancer that relies on others reads the configuration stale every 15 s. Balancers take over a missing watch in turn, three every 250 ms.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -85,6 +85,9 @@
 		OnRead: func(recs []*message.Record) {
 			a.update(func(c *serving.Core) { c.ApplyStored(a.Now(), recs) })
 		},
+		OnAnswer: func() {
+			a.update(func(c *serving.Core) { c.Members.RecordStoreAnswer(a.Now()) })
+		},
 		OnOwnRecord: func(r *message.Record, current bool) {
 			a.update(func(c *serving.Core) { c.RestoreOwnRecord(a.Now(), r, current) })
 		},
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -102,6 +102,9 @@
 		OnRead: func(recs []*message.Record) {
 			b.update(func(c *forwarding.Core) { c.ApplyStored(b.Now(), recs) })
 		},
+		OnAnswer: func() {
+			b.update(func(c *forwarding.Core) { c.Members.RecordStoreAnswer(b.Now()) })
+		},
 		OnOwnRecord: func(r *message.Record, current bool) {
 			b.update(func(c *forwarding.Core) { c.RestoreOwnRecord(b.Now(), r, current) })
 		},
--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -156,7 +156,9 @@
 	for ctx.Err() == nil {
 		var err error
 		if !time.Now().Before(s.nextRead) {
-			err = s.readKey(ctx)
+			// A balancer that relies on others reads only in case they all fail to notice a
+			// version; all other reads are made at once and set nextRead to zero.
+			err = s.readKey(ctx, !s.nextRead.IsZero() && s.stored != nil && !s.watching)
 		}
 		if err == nil {
 			err = s.watch(ctx)
@@ -231,11 +233,11 @@
 	s.storeFailing = err != nil
 }
 
-// readKey reads the key from the store. The key stays due if the store was restored
-// meanwhile, since the answer may be from before.
-func (s *Syncer) readKey(ctx context.Context) error {
+// readKey reads the key from the store; a stale answer confirms no version. The key stays
+// due if the store was restored meanwhile, since the answer may be from before.
+func (s *Syncer) readKey(ctx context.Context, stale bool) error {
 	start, before := time.Now(), s.store.Era()
-	kvs, rev, err := s.store.Read(ctx, store.Range{Key: s.Key})
+	kvs, rev, err := s.store.Read(ctx, store.Range{Key: s.Key, Stale: stale})
 	if err != nil {
 		return err
 	}
@@ -246,12 +248,16 @@
 	if s.era != 0 && era != s.era {
 		s.Warn("StoreRestored", "By", "Follower", "Era", era, "Before", s.era, "Version", s.version(), "WatchRevision", s.watchRevision, "Revision", rev)
 	}
-	s.era, s.watchRevision = era, rev
+	if s.era != era || rev > s.watchRevision {
+		s.era, s.watchRevision = era, rev
+	}
 	s.nextRead = time.Now().Add(pollInterval)
 	for _, kv := range kvs {
 		s.handleChange(kv, "Read")
 	}
-	s.OnConfirm(time.Since(start))
+	if !stale {
+		s.OnConfirm(time.Since(start))
+	}
 	return nil
 }
 
--- a/internal/relay/forwarding/configuration.go
+++ b/internal/relay/forwarding/configuration.go
@@ -80,13 +80,29 @@
 
 // ShouldWatchConfiguration reports whether this balancer must watch the store for new
 // configurations: fewer than maxConfigurationWatchers lower instances report, can reach the
-// store and have heard from it recently.
+// store and have heard from it recently. If too few have, the next ones take over in turn,
+// so that not all balancers call the store at once when it fails or the fleet starts.
 func (c *Core) ShouldWatchConfiguration(now instant.Instant) bool {
-	watchers := 0
+	watchers, candidates := 0, 0
 	for _, m := range c.Members.Balancers() {
-		if m.ID() < c.Self && m.IsReporting(now) && m.State == message.State_StateReady && now < c.validUntil[m.ID()] {
+		switch {
+		case m.ID() >= c.Self || m.State != message.State_StateReady || m.IsSuspect(now):
+		case m.IsReporting(now) && now < c.validUntil[m.ID()]:
 			watchers++
+		default:
+			candidates++
 		}
 	}
-	return watchers < maxConfigurationWatchers
+	if watchers >= maxConfigurationWatchers {
+		c.unwatchedSince = 0
+		return false
+	}
+	if c.unwatchedSince == 0 {
+		c.unwatchedSince = now
+	}
+	delay := time.Duration((watchers+candidates)/maxConfigurationWatchers) * watchTakeoverInterval
+	if c.Members.Len() == 0 {
+		delay = maxWatchTakeoverDelay
+	}
+	return now.Sub(c.unwatchedSince) >= min(delay, maxWatchTakeoverDelay)
 }
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -52,6 +52,11 @@
 	// maxConfigurationWatchers limits the balancers that watch the store for new
 	// configurations. Several watch so that one still receives them if others fail.
 	maxConfigurationWatchers = 3
+	// watchTakeoverInterval is the delay after which the next maxConfigurationWatchers
+	// balancers watch if too few do, maxWatchTakeoverDelay that after which all do: a
+	// fraction of the few seconds within which a version must be in force.
+	watchTakeoverInterval = 250 * time.Millisecond
+	maxWatchTakeoverDelay = time.Second
 	// maxSearchedServices limits the services at which a flow's owner is searched although
 	// the route does not name them: such a search asks all agents.
 	maxSearchedServices = 16
@@ -123,6 +128,9 @@
 	// the store confirms it again; validUntil holds the same for other balancers.
 	versionValidUntil instant.Instant
 	validUntil        map[flow.IP]instant.Instant
+	// unwatchedSince is when too few balancers were first seen to watch the store, 0 if
+	// enough do.
+	unwatchedSince instant.Instant
 	// failedComponents holds the components of the process that cannot reach the store.
 	failedComponents map[string]bool
 }
--- a/internal/relay/forwarding/report.go
+++ b/internal/relay/forwarding/report.go
@@ -43,7 +43,7 @@
 // centre, and all if it watches the store for new configurations.
 func (c *Core) newAudience(now instant.Instant) map[flow.IP]bool {
 	a := make(map[flow.IP]bool)
-	watching := now < c.versionValidUntil && c.ShouldWatchConfiguration(now)
+	watching := c.ShouldWatchConfiguration(now) && now < c.versionValidUntil
 	for _, m := range c.Members.Balancers() {
 		if m.ID() != c.Self && (watching || m.DataCentre == c.DataCentre) {
 			a[m.ID()] = true
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -57,9 +57,12 @@
 	// SettleAfter is how long live members may be missing from the store after it
 	// lost records: they write them again within 2 s.
 	SettleAfter = 2 * time.Second
-	// maxReadGap is the time between two reads of the store above which it counts as
-	// unavailable in between: longer than the interval between reads.
-	maxReadGap = 2500 * time.Millisecond
+	// maxAnswerGap is the time between two answers of the store above which it counts as
+	// unavailable in between: longer than the interval between calls.
+	maxAnswerGap = 2500 * time.Millisecond
+	// confirmMissingAfter is how long after a read without a member another one has to be
+	// without it before it is removed.
+	confirmMissingAfter = 1500 * time.Millisecond
 	// incarnationResetAfter is the time without a report after which a report with a
 	// lower incarnation is accepted: the clock of a restarted process may have been
 	// set back.
@@ -81,7 +84,9 @@
 	// another process.
 	LastSeen instant.Instant
 	// inStore is set if the last read of the store returned a record of the process.
-	inStore bool
+	// Otherwise missingSince is the first of the reads since then that did not.
+	inStore      bool
+	missingSince instant.Instant
 	// interval is the interval at which the member reports to this process, 0 if it
 	// reports only changes.
 	interval time.Duration
@@ -147,9 +152,10 @@
 	// ChangeCount counts the changes of members and of their states.
 	ChangeCount uint64
 	loaded      bool
-	// lastRead is when the store was last read, readableSince when the present series of
-	// reads without an outage of the store began.
-	lastRead, readableSince instant.Instant
+	// lastRead is when the store's records were last read, lastAnswer when the store last
+	// answered, and readableSince when its present series of answers without an outage
+	// began.
+	lastRead, lastAnswer, readableSince instant.Instant
 	// settledAt is when all live members will have had time to write their store
 	// records, 0 until that is known.
 	settledAt instant.Instant
@@ -223,12 +229,11 @@
 	if !t.loaded && t.settledAt == 0 {
 		t.settledAt = now.Add(SettleAfter)
 	}
-	if !t.loaded || now.Sub(t.lastRead) > maxReadGap {
-		t.readableSince = now
-	}
+	t.RecordStoreAnswer(now)
 	t.loaded, t.lastRead = true, now
+	wasInStore := make(map[*Member]bool, len(t.members))
 	for _, m := range t.members {
-		m.inStore = false
+		wasInStore[m], m.inStore = m.inStore, false
 	}
 	for _, rec := range recs {
 		m := t.members[flow.IP(rec.Instance)]
@@ -238,11 +243,24 @@
 		m.inStore = true
 		m.LastSeen = now
 	}
+	for _, m := range t.members {
+		if !m.inStore && (wasInStore[m] || m.missingSince == neverSeen) {
+			m.missingSince = now
+		}
+	}
+}
+
+// RecordStoreAnswer records that the store has answered a call.
+func (t *Table) RecordStoreAnswer(now instant.Instant) {
+	if !t.loaded || now.Sub(t.lastAnswer) > maxAnswerGap {
+		t.readableSince = now
+	}
+	t.lastAnswer = now
 }
 
 func (t *Table) set(now instant.Instant, m *Member, rec *message.Record) *Member {
 	if m == nil {
-		m = &Member{Record: rec, LastReport: neverSeen, LastSeen: neverSeen}
+		m = &Member{Record: rec, LastReport: neverSeen, LastSeen: neverSeen, missingSince: neverSeen}
 		t.members[flow.IP(rec.Instance)] = m
 		t.started = append(t.started, m.ID())
 		t.rebuildIndex(now)
@@ -363,17 +381,17 @@
 	return max(d, 1)
 }
 
-// Expire removes and returns the members that have not reported for ExpireAfter and that
-// the store no longer lists ExpireAfter after their record was last seen. A member whose
-// record was lost stays until the store has been readable for SettleAfter, since it has to
-// write the record again. The process's own record stays.
+// Expire removes and returns the members that have not reported for ExpireAfter, although
+// they were asked to, and that two reads of the store have missed. A member whose record was
+// lost stays until the store has been readable for SettleAfter, since it has to write the
+// record again. The process's own record stays.
 func (t *Table) Expire(now instant.Instant) []*Member {
 	if t.lastRead.Sub(t.readableSince) < SettleAfter {
 		return nil
 	}
 	var expired []*Member
 	for id, m := range t.members {
-		if m.inStore || now.Sub(m.LastReport) < ExpireAfter || t.lastRead.Sub(m.LastSeen) < ExpireAfter || id == t.self {
+		if m.inStore || now.Sub(m.LastReport) < ExpireAfter || t.lastRead.Sub(m.LastSeen) < ExpireAfter || t.lastRead.Sub(m.missingSince) < confirmMissingAfter || id == t.self {
 			continue
 		}
 		expired = append(expired, m)
--- a/internal/relay/registry/checkpoint.go
+++ b/internal/relay/registry/checkpoint.go
@@ -11,9 +11,13 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
 
-// maxCheckpointRate is the number of checkpoints that all processes together write per
-// second: a small part of the store's writes.
-const maxCheckpointRate = 20
+const (
+	// maxCheckpointRate is the number of checkpoints that all processes together write per
+	// second: a small part of the store's writes.
+	maxCheckpointRate = 20
+	// minCheckpointInterval is the least time between two checkpoints of a process.
+	minCheckpointInterval = 3 * time.Second
+)
 
 // CheckpointPrefix is the key prefix of checkpoints; an instance's address follows.
 const CheckpointPrefix store.Key = store.Prefix + "flows/"
@@ -64,7 +68,7 @@
 	if cp == nil {
 		return
 	}
-	r.checkpoints.nextWrite = now.Add(time.Duration(r.members) * time.Second / maxCheckpointRate)
+	r.checkpoints.nextWrite = now.Add(max(minCheckpointInterval, time.Duration(r.members)*time.Second/maxCheckpointRate))
 	value, err := proto.Marshal(cp)
 	if err != nil || bytes.Equal(value, r.checkpoints.written) {
 		return
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -35,15 +35,16 @@
 	// leaseTTL is how long an entry outlives its process: longer than all processes
 	// need to restart after a power failure.
 	leaseTTL = 9 * time.Second
-	// renewInterval is how often the lease is renewed: three times per leaseTTL.
-	renewInterval = leaseTTL / 3
-	// pollInterval is how often entries are read: a missing entry has to be rewritten
-	// within 2 s.
-	pollInterval = 1800 * time.Millisecond
-	// earlyPollInterval is how often entries are read during earlyPollPeriod after the
-	// own entry was created, since other processes may be starting too.
-	earlyPollInterval = 250 * time.Millisecond
-	earlyPollPeriod   = 2 * time.Second
+	// renewInterval is how often the lease is renewed, which shows whether the entry has
+	// lapsed: it has to be rewritten within 2 s.
+	renewInterval = 1800 * time.Millisecond
+	// readIntervalMin is how often entries are read after they have changed, and
+	// earlyReadInterval after the own entry was created, since other processes may be
+	// starting too. Each read without a change doubles the interval, up to
+	// readIntervalMax. Members that start tell the others themselves.
+	earlyReadInterval = 250 * time.Millisecond
+	readIntervalMin   = 1800 * time.Millisecond
+	readIntervalMax   = 9 * time.Second
 	// startupRetryMin is the first retry delay until a read has succeeded, retryMin the
 	// first one afterwards. Each further failure doubles the delay, up to
 	// startupRetryMax or retryMax.
@@ -62,6 +63,8 @@
 	Record func() *message.Record
 	// OnRead is called with the records of all other instances after each read.
 	OnRead func([]*message.Record)
+	// OnAnswer is called after each successful renewal of the lease.
+	OnAnswer func()
 	// OnOwnRecord is called with the record of an earlier process of the instance. current is
 	// false if the store may have been restored from a copy since the record was written:
 	// the record may be outdated, and later records of any instance may be missing.
@@ -85,15 +88,18 @@
 	writeRequests chan struct{}
 
 	lease store.LeaseID
+	// readInterval is the interval until the next read. listed holds the entries of the
+	// last one.
+	readInterval time.Duration
+	listed       map[store.Key]store.Revision
 	// leaseEra is the store's era in which the process was granted the lease or found its
 	// entry under it.
-	leaseEra       store.Era
-	revision       store.Revision
-	nextRenewal    time.Time
-	nextRead       time.Time
-	earlyPollUntil time.Time
-	loaded         bool
-	writePending   bool
+	leaseEra     store.Era
+	revision     store.Revision
+	nextRenewal  time.Time
+	nextRead     time.Time
+	loaded       bool
+	writePending bool
 	// members is the number of other processes at the last read.
 	members int
 	// checkpoints is the state of the checkpoint's key.
@@ -168,8 +174,9 @@
 	r.checkpoints.written, r.checkpoints.nextWrite = nil, time.Time{}
 }
 
-// runOnce makes the store calls that are due. It reads the entries again after it
-// created its own: of two processes that start together, the later one sees the other.
+// runOnce makes the store calls that are due. It reads the entries again soon after it
+// created its own: of two processes that start together, one then sees the other and
+// reports to it.
 func (r *Registry) runOnce(ctx context.Context) error {
 	if !r.loaded || !time.Now().Before(r.nextRead) {
 		if err := r.readEntries(ctx, r.loaded && !r.restored); err != nil {
@@ -190,8 +197,14 @@
 	if err := r.writeEntry(ctx); err != nil || !isFirst {
 		return err
 	}
-	r.earlyPollUntil = time.Now().Add(earlyPollPeriod)
-	return r.readEntries(ctx, false)
+	r.scheduleRead(earlyReadInterval)
+	return nil
+}
+
+// scheduleRead sets the interval until the next read.
+func (r *Registry) scheduleRead(interval time.Duration) {
+	r.readInterval = interval
+	r.nextRead = time.Now().Add(interval)
 }
 
 func (r *Registry) wait(ctx context.Context, err error) {
@@ -232,6 +245,8 @@
 		r.Warn("StoreLost", "By", "Registry", "Reason", err)
 		r.OnStoreHealth(false)
 	case err == nil && r.storeFailing:
+		// Entries may have lapsed meanwhile.
+		r.nextRead, r.readInterval = time.Time{}, readIntervalMin
 		r.Info("StoreRegained", "By", "Registry")
 		r.OnStoreHealth(true)
 	}
@@ -245,9 +260,10 @@
 		return err
 	}
 	others := make([]*message.Record, 0, len(kvs))
-	r.nextRead = time.Now().Add(pollInterval)
-	if time.Now().Before(r.earlyPollUntil) {
-		r.nextRead = time.Now().Add(earlyPollInterval)
+	if r.recordListed(kvs) {
+		r.scheduleRead(readIntervalMin)
+	} else {
+		r.scheduleRead(min(2*r.readInterval, readIntervalMax))
 	}
 	foundOwn := false
 	for _, kv := range kvs {
@@ -280,6 +296,19 @@
 	return nil
 }
 
+// recordListed remembers the entries of a read and reports whether any has been added or
+// is missing since the last one.
+func (r *Registry) recordListed(kvs []store.KV) (changed bool) {
+	listed := make(map[store.Key]store.Revision, len(kvs))
+	for _, kv := range kvs {
+		listed[kv.Key] = kv.Revision
+		changed = changed || r.listed[kv.Key] == 0
+	}
+	changed = changed || len(listed) != len(r.listed)
+	r.listed = listed
+	return changed
+}
+
 // decodeEntry returns the record of an entry. Another writer may have left the entry, so that
 // it may hold anything; every process writes its own under a lease.
 func decodeEntry(kv store.KV) (*message.Record, error) {
@@ -370,6 +399,7 @@
 		return err
 	}
 	r.nextRenewal = time.Now().Add(renewInterval)
+	r.OnAnswer()
 	return nil
 }
 
