--- /dev/null
+++ b/internal/standin/relay/largefleet_test.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jaytack/jaytack/internal/relay/flow"
+)
+
+// largeFleet returns a fleet of 200 processes with some hundred callers.
+func largeFleet(seed uint64) Config {
+	cfg := WideRegistro(seed, 200)
+	for i := range cfg.Callers {
+		cfg.Callers[i].Callers /= 12
+	}
+	return cfg
+}
+
+// TestLargeFleetSurvivesRandomFaults resets no open flow while faults overlap in a fleet in
+// which most processes do not report to each other.
+func TestLargeFleetSurvivesRandomFaults(t *testing.T) {
+	first, n := seedSetting(t, "JAYTACK_SEED", 1), seedSetting(t, "JAYTACK_SEEDS", 6)
+	for seed := first; seed < first+n; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w, faults := newRandomRunOf(largeFleet(seed), randomFaults)
+			w.Run(randomRunEnd)
+			qt.Check(t, w.Violations, qt.HasLen, 0, qt.Commentf("faults %v", faults))
+		})
+	}
+}
+
+// TestLargeFleetSurvivesLossOfAll checks that a fleet whose processes and upstreams all lose
+// power at once serves as before one second after their return, that every caller of a flow
+// that has ended is told, and that the members find each other again.
+func TestLargeFleetSurvivesLossOfAll(t *testing.T) {
+	const (
+		lost, downtime = 5 * time.Second, 1500 * time.Millisecond
+		back           = lost + downtime
+		// least is the brief's bound on a normal service within 1 s of the return.
+		least = 0.95
+	)
+	cfg := largeFleet(41)
+	n := countEvents(&cfg)
+	w := New(cfg)
+	w.At(lost, func() { w.LosePower(downtime) })
+	w.Run(back + 6*time.Second)
+	qt.Assert(t, w.Violations, qt.HasLen, 0)
+	before, after := w.Served(2*time.Second, lost-time.Second), w.Served(back+time.Second, back+3*time.Second)
+	t.Logf("served %.3f before, %.3f after; %v", before, after, n)
+	qt.Check(t, after >= least*before, qt.IsTrue, qt.Commentf("served %.3f after %.3f", after, before))
+	qt.Check(t, n["OwnerNotFound"]*20 <= n["OwnerSearched"], qt.IsTrue, qt.Commentf("%v", n))
+	for _, p := range w.Agents {
+		qt.Check(t, len(p.Agent.Members.Agents(p.service))+1 >= upstreamsOf(cfg, p.service), qt.IsTrue, qt.Commentf("%v", p.IP))
+	}
+}
+
+func upstreamsOf(cfg Config, service string) int {
+	for _, s := range cfg.Services {
+		if s.Name == service {
+			return s.Upstreams
+		}
+	}
+	return 0
+}
+
+// TestSilentMembersAreAskedBeforeTheyAreForgotten guards against an agent that others take
+// for gone, since it cannot reach the store for longer than its lease and most members get
+// no regular reports from it: its open flows would be reset on the denials of the others.
+func TestSilentMembersAreAskedBeforeTheyAreForgotten(t *testing.T) {
+	w := New(largeFleet(42))
+	off := make(map[flow.IP]bool)
+	for i, p := range w.Agents {
+		off[p.IP] = i%10 == 0
+	}
+	w.StoreRefuses = func(ip flow.IP) bool { return off[ip] && w.Now() > 4*time.Second }
+	w.Run(4*time.Second + entryTTL + 8*time.Second)
+	qt.Assert(t, w.Violations, qt.HasLen, 0)
+	for _, p := range w.Agents {
+		for ip := range off {
+			if q := w.processes[ip]; q.service == p.service && q != p {
+				qt.Assert(t, p.Agent.Members.Member(ip) != nil, qt.IsTrue, qt.Commentf("%v has forgotten %v", p.IP, ip))
+			}
+		}
+	}
+}
+
+// TestDeadMembersAreForgotten guards against members that stay for good although they are
+// gone, since nobody expects reports from them: searches would wait for their denial.
+func TestDeadMembersAreForgotten(t *testing.T) {
+	w := New(largeFleet(43))
+	dead := w.Agents[:20]
+	w.At(4*time.Second, func() {
+		for _, p := range dead {
+			p.Upstream.Crash()
+			w.Kill(p)
+		}
+	})
+	// The entries expire, two reads miss them, and nobody answers for some seconds.
+	w.Run(4*time.Second + entryTTL + 6*time.Second)
+	qt.Assert(t, w.Violations, qt.HasLen, 0)
+	for _, p := range w.Agents[len(dead):] {
+		for _, q := range dead {
+			qt.Assert(t, p.Agent.Members.Member(q.IP) == nil, qt.IsTrue, qt.Commentf("%v still lists %v", p.IP, q.IP))
+		}
+	}
+}
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -103,7 +103,7 @@
 	if p.startCount != start {
 		return
 	}
-	if w.StoreDown || p.Paused {
+	if w.StoreDown || p.Paused || w.StoreRefuses(p.IP) {
 		w.after(storeRetryInterval, func() { w.refreshMembership(p, start) })
 		return
 	}
--- a/internal/standin/relay/random_test.go
+++ b/internal/standin/relay/random_test.go
@@ -159,11 +159,15 @@
 	}
 }
 
-// newRandomRun returns a run whose faults, of the given kinds, depend on the seed only, and
-// describes them.
+// newRandomRun returns a run of the usual fleet with faults of the given kinds.
 func newRandomRun(seed uint64, kinds []randomFault) (w *randomRun, faults []string) {
-	r := rand.New(rand.NewPCG(seed, 2))
-	cfg := Registro(seed)
+	return newRandomRunOf(Registro(seed), kinds)
+}
+
+// newRandomRunOf returns a run of a fleet whose faults, of the given kinds, depend on its
+// seed only, and describes them.
+func newRandomRunOf(cfg Config, kinds []randomFault) (w *randomRun, faults []string) {
+	r := rand.New(rand.NewPCG(cfg.Seed, 2))
 	cfg.LossPerMille = []int{1, 5, 30}[r.IntN(3)]
 	w = &randomRun{World: New(cfg), r: r, losesEntries: r.IntN(2) == 0}
 	for range 2 + r.IntN(4) {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -117,8 +117,10 @@
 	Cut func(from, to flow.IP) bool
 	// ReportStrays makes packets of open flows that reach other upstreams only a violation.
 	ReportStrays bool
-	// StoreDown makes the store unavailable.
-	StoreDown bool
+	// StoreDown makes the store unavailable. StoreRefuses reports whether it turns an
+	// instance away.
+	StoreDown    bool
+	StoreRefuses func(flow.IP) bool
 	// Violations lists the violated invariants, at most maxViolations.
 	Violations []string
 	// Results lists the results of all finished requests.
@@ -175,6 +177,7 @@
 	w := &World{
 		Config: cfg, Random: rand.New(rand.NewPCG(cfg.Seed, 1)), codec: Codec(), configurationVersion: 1, now: 1,
 		Cut:             func(_, _ flow.IP) bool { return false },
+		StoreRefuses:    func(flow.IP) bool { return false },
 		allowedServices: make(map[flow.Endpoint][]string),
 		processes:       make(map[flow.IP]*Process), entries: make(map[flow.IP]*entry), checkpoints: make(map[flow.IP]*message.Checkpoint), strays: make(map[flow.ID]*stray), callerFlows: make(map[flow.Endpoint]*callerFlow),
 	}
