Report loads to agents when they change

Cause: agents repeated the same load to the agents that place flows at them, 20 times a second near and 6.7 far, while a large fleet runs a few requests a second at each upstream. Change: a load is told when it has changed, at most as often as before, and else every 200 ms near and 300 ms far, which the report names as its interval.

--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -72,8 +72,8 @@
 			a.intervals[id] = interval
 		}
 	}
-	set(a.local, agentReportInterval)
-	set(a.remote, remoteReportEvery*agentReportInterval)
+	set(a.local, localKeepAlive)
+	set(a.remote, remoteKeepAlive)
 	set(a.balancers, max(balancerReportInterval, time.Duration(len(a.balancers))*time.Second/maxBalancerReportRate))
 	return a
 }
@@ -124,9 +124,13 @@
 	if now >= c.nextAgentReport {
 		c.nextAgentReport = now.Add(agentReportInterval)
 		c.agentReports++
-		r.sendAll(c.audience.local)
-		if c.remoteReportDue || c.agentReports%remoteReportEvery == 0 {
-			c.remoteReportDue = false
+		load := c.Record(now)
+		if c.lastLocal.isOutdated(now, load, localKeepAlive) {
+			c.lastLocal = toldLoad{load, now}
+			r.sendAll(c.audience.local)
+		}
+		if (c.remoteReportDue || c.agentReports%remoteReportEvery == 0) && c.lastRemote.isOutdated(now, load, remoteKeepAlive) {
+			c.lastRemote, c.remoteReportDue = toldLoad{load, now}, false
 			r.sendAll(c.audience.remote)
 		}
 	}
@@ -142,6 +146,22 @@
 	c.startedMembers = nil
 }
 
+// toldLoad is the load that agents were told in a record, and when.
+type toldLoad struct {
+	record *message.Record
+	at     instant.Instant
+}
+
+// isOutdated reports whether the load has changed or has not been told for keepAlive.
+func (l toldLoad) isOutdated(now instant.Instant, current *message.Record, keepAlive time.Duration) bool {
+	if l.record == nil || now.Sub(l.at) >= keepAlive-TickInterval/2 {
+		return true
+	}
+	idleChange := int(current.Idle) - int(l.record.Idle)
+	return current.State != l.record.State || current.Slots != l.record.Slots || current.Busy != l.record.Busy ||
+		current.Cold != l.record.Cold || max(idleChange, -idleChange) >= minIdleChange
+}
+
 // balancerInterval returns the interval between reports to the balancers of the audience.
 func (c *Core) balancerInterval() time.Duration {
 	if len(c.audience.balancers) == 0 {
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -43,11 +43,18 @@
 	// TickInterval is the interval between calls of Tick.
 	TickInterval = 50 * time.Millisecond
 	// agentReportInterval is the interval between load reports to agents of the same
-	// service: the duration of a few requests. Agents in other data centres get every
-	// remoteReportEvery-th report, since that traffic costs more and flows go there
-	// only if the local upstreams are full.
+	// service while the load changes: the duration of a few requests. Agents in other data
+	// centres get every remoteReportEvery-th report, since that traffic costs more and
+	// flows go there only if the local upstreams are full.
 	agentReportInterval = 50 * time.Millisecond
 	remoteReportEvery   = 3
+	// localKeepAlive and remoteKeepAlive are the intervals between reports to agents while
+	// the load stays the same: two fit into the silence after which an agent is suspect.
+	localKeepAlive  = 4 * agentReportInterval
+	remoteKeepAlive = 2 * remoteReportEvery * agentReportInterval
+	// minIdleChange is the change in the number of idle flows that counts as a change of
+	// the load: less than one request.
+	minIdleChange = 10
 	// balancerReportInterval is the interval between reports to balancers: two fit into
 	// the silence after which a balancer suspects the agent. It grows with their number
 	// above maxBalancerReportRate reports a second.
@@ -208,10 +215,12 @@
 	nextAgentReport, nextBalancerReport, nextExpiry, nextReportRequest, lastTick instant.Instant
 	// resumedAt is the end of the last pause of the process, 0 if there was none.
 	resumedAt instant.Instant
-	// agentReports counts the reports to agents of the same service. remoteReportDue makes
-	// the next one go to other data centres too.
+	// agentReports counts the times at which reports to agents of the same service were due.
+	// remoteReportDue makes the next one go to other data centres too.
 	agentReports    int
 	remoteReportDue bool
+	// lastLocal and lastRemote are the last loads that agents were told.
+	lastLocal, lastRemote toldLoad
 	// audience is as of the Members.ChangeCount audienceAt.
 	audience   audience
 	audienceAt uint64
