Tell callers of flows whose upstream refuses connections

Cause: after a loss of power an agent whose upstream does not return, as in a release, counted as possibly holding flows for three heartbeat intervals (3.6 s), and every search for a lost flow waited for its denial, so that callers ran into their deadline. Change: while the upstream is silent the agent connects to it every 250 ms. One that refuses for 0.5 s does not run and has lost its flows: an agent that has heard nothing of it counts as having none, another resets the flows in its table. Ruled out: a shorter time until a table settles; the platform gives 2 s for lost entries.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/process/sockets"
@@ -104,6 +105,7 @@
 	}, p.Store, p.Logger)
 	go func() { a.readUpstream() }()
 	go func() { a.runTicker() }()
+	go func() { a.checkListening() }()
 	a.registerMetrics()
 	if err := p.ServeMetrics(); err != nil {
 		return nil, err
@@ -198,6 +200,31 @@
 	}
 }
 
+// checkListening connects to the upstream while the core needs to know whether it listens.
+func (a *Agent) checkListening() {
+	t := time.NewTicker(serving.ListenCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-a.done:
+			return
+		case <-t.C:
+		}
+		a.mu.Lock()
+		needed := a.core.NeedsListenCheck()
+		a.mu.Unlock()
+		if !needed {
+			continue
+		}
+		conn, err := net.DialTimeout("tcp4", a.Settings.Upstream.String(), serving.ListenCheckInterval)
+		if err == nil {
+			_ = conn.Close()
+		}
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		a.update(func(c *serving.Core) { c.HandleListenCheck(a.Now(), refused) })
+	}
+}
+
 func (a *Agent) registerMetrics() {
 	requestTimes, waitTimes := a.Metrics.Histogram("RequestTime"), a.Metrics.Histogram("WaitForUpstream")
 	a.core.SetOnAnswer(requestTimes.Record)
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -179,6 +179,9 @@
 	// no flows. listenTime is how long the process has listened.
 	absent     bool
 	listenTime time.Duration
+	// refusedSince is when the upstream was first seen to refuse connections, 0 if it does
+	// not.
+	refusedSince instant.Instant
 	// bouncesOpening is set while first packets bounce: the upstream is down or full.
 	bouncesOpening bool
 	// resetFlowsAt is when the flows of an upstream that has left are reset, 0 for never.
--- a/internal/standin/relay/largefleet_test.go
+++ b/internal/standin/relay/largefleet_test.go
@@ -108,3 +108,44 @@
 		}
 	}
 }
+
+// TestCallersLearnOfLostFlowsBesideAbsentUpstreams guards against callers that run into their
+// deadline on lost flows after a loss of power: some upstreams were being replaced and do not
+// return, the store has lost all entries, and searches wait for the agents beside them.
+func TestCallersLearnOfLostFlowsBesideAbsentUpstreams(t *testing.T) {
+	const (
+		lost, downtime = 5 * time.Second, 1500 * time.Millisecond
+		back           = lost + downtime
+	)
+	cfg := largeFleet(44)
+	for i := range cfg.Callers {
+		// That of the users' large site.
+		cfg.Callers[i].Deadline = 4 * time.Second
+	}
+	w := New(cfg)
+	w.At(lost, func() {
+		w.LoseEntries()
+		w.LosePower(downtime)
+	})
+	w.At(back+time.Millisecond, func() {
+		for i, p := range w.Agents {
+			if i%10 == 0 {
+				p.Upstream.Crash()
+			}
+		}
+	})
+	w.Run(back + 6*time.Second)
+	qt.Assert(t, w.Violations, qt.HasLen, 0)
+	failed, all := 0, 0
+	for _, r := range w.Results {
+		// Requests that were in progress at the loss cannot all be answered.
+		if r.At > lost && r.At < back+2*time.Second {
+			all++
+			if r.Latency == 0 {
+				failed++
+			}
+		}
+	}
+	t.Logf("%d of %d failed", failed, all)
+	qt.Check(t, failed*50 <= all, qt.IsTrue, qt.Commentf("%d of %d failed", failed, all))
+}
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -29,6 +29,9 @@
 		}
 	}
 	w.tick(p, p.startCount, tick)
+	if p.Agent != nil {
+		w.checkListening(p, p.startCount)
+	}
 	w.after(storeLatency, func() { w.refreshMembership(p, p.startCount) })
 }
 
@@ -97,6 +100,24 @@
 	})
 }
 
+// checkListening periodically tells an agent whether its upstream refuses connections, while
+// the agent needs to know. One whose instance is dark answers nothing.
+func (w *World) checkListening(p *Process, start uint64) {
+	w.after(serving.ListenCheckInterval, func() {
+		if p.startCount != start {
+			return
+		}
+		if !p.Paused {
+			w.dispatch(p, func() {
+				if p.Agent.NeedsListenCheck() {
+					p.Agent.HandleListenCheck(w.now, !p.Upstream.alive && !p.Upstream.Dark)
+				}
+			})
+		}
+		w.checkListening(p, start)
+	})
+}
+
 // refreshMembership periodically writes the process's entry to the store and reads
 // the entries of all others.
 func (w *World) refreshMembership(p *Process, start uint64) {
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -38,6 +38,8 @@
 	p     *Process
 	flows map[flow.ID]*upstreamFlow
 	alive bool
+	// Dark makes connection attempts to a stopped upstream time out instead of being refused.
+	Dark bool
 	// bouncesPackets is set while the instance is up but its upstream is down.
 	bouncesPackets    bool
 	draining          bool
