--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -229,6 +229,11 @@
 	requestTimes, waitTimes := a.Metrics.Histogram("RequestTime"), a.Metrics.Histogram("WaitForUpstream")
 	a.core.SetOnAnswer(requestTimes.Record)
 	a.core.OnWait = waitTimes.Record
+	a.Metrics.Func("Members", func() any {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.core.Members.Summary(a.Now())
+	})
 	a.Metrics.Func("Serving", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -203,6 +203,11 @@
 }
 
 func (b *Balancer) registerMetrics() {
+	b.Metrics.Func("Members", func() any {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.core.Members.Summary(b.Now())
+	})
 	b.Metrics.Func("Forwarding", func() any {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -107,8 +107,10 @@
 	return now.Sub(m.LastReport) <= max(SuspectAfter, suspectIntervals*m.interval)
 }
 
-// ReportsLoad reports whether the member reports regularly and has done so recently.
-func (m *Member) ReportsLoad(now instant.Instant) bool { return m.interval > 0 && m.IsReporting(now) }
+// ReportsRegularly reports whether the member reports regularly and has done so recently.
+func (m *Member) ReportsRegularly(now instant.Instant) bool {
+	return m.interval > 0 && m.IsReporting(now)
+}
 
 // IsSuspect reports whether the member reports or has to report to this process regularly
 // and its reports are overdue. Other members count as alive.
@@ -144,6 +146,8 @@
 	services        []string
 	balancers       []*Member
 	overlay         Overlay
+	// indexOutdated is set while the lists above do not follow from members.
+	indexOutdated bool
 	// started lists the members whose present process has become known since TakeStarted.
 	started []flow.IP
 	// digests caches the digests of the services' agents at ChangeCount digestsAt.
@@ -218,8 +222,9 @@
 	if m != nil && !supersedes(rec, m.Record) && (rec.Incarnation >= m.Incarnation || now.Sub(m.LastReport) < incarnationResetAfter) {
 		return false
 	}
-	m = t.set(now, m, rec)
+	m = t.set(m, rec)
 	m.LastReport, m.interval = now, interval
+	t.updateIndex(now)
 	return true
 }
 
@@ -238,7 +243,7 @@
 	for _, rec := range recs {
 		m := t.members[flow.IP(rec.Instance)]
 		if m == nil || supersedes(rec, m.Record) {
-			m = t.set(now, m, rec)
+			m = t.set(m, rec)
 		}
 		m.inStore = true
 		m.LastSeen = now
@@ -248,6 +253,7 @@
 			m.missingSince = now
 		}
 	}
+	t.updateIndex(now)
 }
 
 // RecordStoreAnswer records that the store has answered a call.
@@ -258,12 +264,13 @@
 	t.lastAnswer = now
 }
 
-func (t *Table) set(now instant.Instant, m *Member, rec *message.Record) *Member {
+// set adds a member or replaces its record. The caller calls updateIndex after the last change.
+func (t *Table) set(m *Member, rec *message.Record) *Member {
 	if m == nil {
 		m = &Member{Record: rec, LastReport: neverSeen, LastSeen: neverSeen, missingSince: neverSeen}
 		t.members[flow.IP(rec.Instance)] = m
 		t.started = append(t.started, m.ID())
-		t.rebuildIndex(now)
+		t.indexOutdated = true
 		return m
 	}
 	old := m.Record
@@ -272,7 +279,7 @@
 		t.started = append(t.started, m.ID())
 	}
 	if old.Service != rec.Service || old.DataCentre != rec.DataCentre || (old.State == message.State_StateGone) != (rec.State == message.State_StateGone) {
-		t.rebuildIndex(now)
+		t.indexOutdated = true
 	} else if old.State != rec.State || old.Incarnation != rec.Incarnation {
 		t.ChangeCount++
 	}
@@ -303,9 +310,13 @@
 	return out
 }
 
-// rebuildIndex rebuilds the lists of balancers and of agents by service, the overlay and
-// the members that have to report to this process.
-func (t *Table) rebuildIndex(now instant.Instant) {
+// updateIndex rebuilds, if members have changed, the lists of balancers and of agents by
+// service, the overlay, and the members that have to report to this process.
+func (t *Table) updateIndex(now instant.Instant) {
+	if !t.indexOutdated {
+		return
+	}
+	t.indexOutdated = false
 	t.ChangeCount++
 	clear(t.agentsByService)
 	t.balancers = t.balancers[:0]
@@ -396,10 +407,9 @@
 		}
 		expired = append(expired, m)
 		delete(t.members, id)
+		t.indexOutdated = true
 	}
-	if len(expired) > 0 {
-		t.rebuildIndex(now)
-	}
+	t.updateIndex(now)
 	return expired
 }
 
--- a/internal/relay/membership/overlay.go
+++ b/internal/relay/membership/overlay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
@@ -100,3 +101,29 @@
 
 // Overlay returns the overlay of this process's agent. The caller must not modify it.
 func (t *Table) Overlay() *Overlay { return &t.overlay }
+
+// Summary describes a table for metrics.
+type Summary struct {
+	Agents, Balancers int
+	// Suspect counts the members whose reports are overdue, Reporting those that report
+	// regularly.
+	Suspect, Reporting int
+	// OldestReportMillis is the greatest age of a last report of the latter, which is the
+	// age of the loads that placements use.
+	OldestReportMillis int64
+}
+
+// Summary returns the sizes and ages of the table.
+func (t *Table) Summary(now instant.Instant) Summary {
+	s := Summary{Balancers: len(t.balancers), Agents: len(t.members) - len(t.balancers)}
+	for _, m := range t.members {
+		switch {
+		case m.IsSuspect(now):
+			s.Suspect++
+		case m.ReportsRegularly(now):
+			s.Reporting++
+			s.OldestReportMillis = max(s.OldestReportMillis, now.Sub(m.LastReport).Milliseconds())
+		}
+	}
+	return s
+}
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -75,7 +75,7 @@
 	add(c.Self, c.DataCentre, c.state, true)
 	reporters := c.Members.Overlay().Reporters
 	for _, r := range c.Members.Agents(c.Service) {
-		if r.ID() != c.Self && (reporters[r.ID()] || r.ReportsLoad(now)) {
+		if r.ID() != c.Self && (reporters[r.ID()] || r.ReportsRegularly(now)) {
 			add(r.ID(), r.DataCentre, r.State, r.IsReporting(now))
 		}
 	}
