--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -303,27 +303,6 @@
 	}
 }
 
-func (c *Core) handleReport(now instant.Instant, from flow.IP, report *message.Report) {
-	r := report.GetRecord()
-	if r == nil || flow.IP(r.Instance) != from || from == c.Self || r.Check() != nil {
-		c.Counts.Unreadable++
-		return
-	}
-	if report.ReplyWanted {
-		c.sendReport(now, from, false)
-	}
-	if !c.Members.ApplyReport(now, r, time.Duration(report.IntervalMillis)*time.Millisecond) {
-		return
-	}
-	if r.Service == "" {
-		c.validUntil[from] = now.Add(time.Duration(report.VersionValidMillis) * time.Millisecond)
-	}
-	if v := routes.Version(r.Version); r.Service == "" && v > c.Routes.Version() {
-		c.handleNewerVersion(now, from, r.DataCentre, v)
-	}
-	c.handleMemberChanges(now)
-}
-
 // handleMemberChanges retries queued packets if the members have changed.
 func (c *Core) handleMemberChanges(now instant.Instant) {
 	if c.handledChanges == c.Members.ChangeCount {
@@ -362,21 +341,6 @@
 	c.announce(now)
 }
 
-// Record returns the record that the balancer reports to other processes.
-func (c *Core) Record() *message.Record {
-	state := message.State_StateReady
-	switch {
-	case c.stopping:
-		state = message.State_StateRestarting
-	case len(c.failedComponents) > 0:
-		state = message.State_StateSilent
-	}
-	return &message.Record{
-		Instance: uint32(c.Self), DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence, State: state,
-		Version: int64(c.Routes.Version()),
-	}
-}
-
 // Tick retries queued packets, removes expired entries and sends reports that are due.
 func (c *Core) Tick(now instant.Instant) {
 	c.forwardQueued(now)
--- a/internal/relay/forwarding/report.go
+++ b/internal/relay/forwarding/report.go
@@ -8,8 +8,45 @@
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/routes"
 )
 
+// Record returns the record that the balancer reports to other processes.
+func (c *Core) Record() *message.Record {
+	state := message.State_StateReady
+	switch {
+	case c.stopping:
+		state = message.State_StateRestarting
+	case len(c.failedComponents) > 0:
+		state = message.State_StateSilent
+	}
+	return &message.Record{
+		Instance: uint32(c.Self), DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence, State: state,
+		Version: int64(c.Routes.Version()),
+	}
+}
+
+func (c *Core) handleReport(now instant.Instant, from flow.IP, report *message.Report) {
+	r := report.GetRecord()
+	if r == nil || flow.IP(r.Instance) != from || from == c.Self || r.Check() != nil {
+		c.Counts.Unreadable++
+		return
+	}
+	if report.ReplyWanted {
+		c.sendReport(now, from, false)
+	}
+	if !c.Members.ApplyReport(now, r, time.Duration(report.IntervalMillis)*time.Millisecond) {
+		return
+	}
+	if r.Service == "" {
+		c.validUntil[from] = now.Add(time.Duration(report.VersionValidMillis) * time.Millisecond)
+	}
+	if v := routes.Version(r.Version); r.Service == "" && v > c.Routes.Version() {
+		c.handleNewerVersion(now, from, r.DataCentre, v)
+	}
+	c.handleMemberChanges(now)
+}
+
 // sendReports sends the balancer's record to the processes that are due for it: regularly to
 // the audience, once to processes that have started, and to all members when this process
 // starts or stops.
--- /dev/null
+++ b/internal/relay/membership/member.go
@@ -0,0 +1,79 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/jaytack/jaytack/internal/clock/instant"
+	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/message"
+)
+
+// Member is the latest record of one process and when the process was last confirmed.
+type Member struct {
+	*message.Record
+	// LastReport is when the process last sent a report itself.
+	LastReport instant.Instant
+	// LastSeen is when its record was last read from the store or received from
+	// another process.
+	LastSeen instant.Instant
+	// inStore is set if the last read of the store returned a record of the process.
+	// Otherwise missingSince is the first of the reads since then that did not.
+	inStore      bool
+	missingSince instant.Instant
+	// interval is the interval at which the member reports to this process, 0 if it
+	// reports only changes.
+	interval time.Duration
+	// storedGoneSince is when the store first said that the upstream of a member that has not
+	// reported itself has left.
+	storedGoneSince instant.Instant
+	// expected is set if the member has to report to this process regularly. expectedSince
+	// is when that was last known to begin.
+	expected      bool
+	expectedSince instant.Instant
+}
+
+// ID returns the member's instance.
+func (m *Member) ID() flow.IP { return flow.IP(m.Instance) }
+
+// IsAgent reports whether the member is an agent; otherwise it is a balancer.
+func (m *Member) IsAgent() bool { return m.Service != "" }
+
+// IsReporting reports whether the member has reported recently.
+func (m *Member) IsReporting(now instant.Instant) bool {
+	return now.Sub(m.LastReport) <= max(SuspectAfter, suspectIntervals*m.interval)
+}
+
+// ReportsRegularly reports whether the member reports regularly and has done so recently.
+func (m *Member) ReportsRegularly(now instant.Instant) bool {
+	return m.interval > 0 && m.IsReporting(now)
+}
+
+// IsSuspect reports whether the member reports or has to report to this process regularly
+// and its reports are overdue. Other members count as alive.
+func (m *Member) IsSuspect(now instant.Instant) bool {
+	if m.IsReporting(now) {
+		return false
+	}
+	return m.interval > 0 || m.expected && now.Sub(m.expectedSince) > SuspectAfter
+}
+
+// HasLeft reports whether the member's upstream has left, so that it holds no flows. The store
+// may say so although another one has started, which the member then reports.
+func (m *Member) HasLeft(now instant.Instant) bool {
+	return m.State == message.State_StateGone && (m.LastReport != neverSeen || now.Sub(m.storedGoneSince) >= confirmGoneAfter)
+}
+
+// isUnconfirmed reports whether nothing recent shows that the member still exists.
+func (m *Member) isUnconfirmed(now instant.Instant) bool {
+	storedGone := m.State == message.State_StateGone && m.LastReport == neverSeen && now.Sub(m.storedGoneSince) < 2*confirmGoneAfter
+	return m.IsSuspect(now) || storedGone || !m.inStore && now.Sub(m.LastReport) > unconfirmedAfter
+}
+
+// AcceptsFlows reports whether the member reported that its upstream accepts new flows.
+func (m *Member) AcceptsFlows() bool { return m.State == message.State_StateReady }
+
+// IsStaying reports whether a process in a state is neither restarting, draining nor gone,
+// so that it is preferred as a home.
+func IsStaying(s message.State) bool {
+	return s != message.State_StateGone && s != message.State_StateRestarting && s != message.State_StateDraining
+}
