Read the list four times in the first second of an entry

Change: reads every 250 ms for 1 s. TestSlowStarterIsFound fails without it. Conclusion: three stale reads more for each start.

--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -38,11 +38,13 @@
 	// renewInterval is how often the lease is renewed, which shows whether the entry has
 	// lapsed: it has to be rewritten within 2 s.
 	renewInterval = 1800 * time.Millisecond
-	// readIntervalMin is how often entries are read after they have changed, and
-	// earlyReadInterval after the own entry was created, since other processes may be
-	// starting too. Each read without a change doubles the interval, up to
-	// readIntervalMax. Members that start tell the others themselves.
+	// readIntervalMin is how often entries are read after they have changed. Each read
+	// without a change doubles the interval, up to readIntervalMax. Members that start
+	// tell the others themselves. earlyReadInterval is how often entries are read during
+	// earlyReadPeriod after the own entry was created, since other processes may be
+	// starting too, of which neither has seen the other.
 	earlyReadInterval = 250 * time.Millisecond
+	earlyReadPeriod   = time.Second
 	readIntervalMin   = 1800 * time.Millisecond
 	readIntervalMax   = 9 * time.Second
 	// startupRetryMin is the first retry delay until a read has succeeded, retryMin the
@@ -90,7 +92,8 @@
 	lease store.LeaseID
 	// readInterval is the interval until the next read. listed holds the entries of the
 	// last one.
-	readInterval time.Duration
+	readInterval   time.Duration
+	earlyReadUntil time.Time
 	listed       map[store.Key]store.Revision
 	// leaseEra is the store's era in which the process was granted the lease or found its
 	// entry under it.
@@ -197,6 +200,7 @@
 	if err := r.writeEntry(ctx); err != nil || !isFirst {
 		return err
 	}
+	r.earlyReadUntil = time.Now().Add(earlyReadPeriod)
 	r.scheduleRead(earlyReadInterval)
 	return nil
 }
@@ -260,9 +264,12 @@
 		return err
 	}
 	others := make([]*message.Record, 0, len(kvs))
-	if r.recordListed(kvs) {
+	switch changed := r.recordListed(kvs); {
+	case time.Now().Before(r.earlyReadUntil):
+		r.scheduleRead(earlyReadInterval)
+	case changed:
 		r.scheduleRead(readIntervalMin)
-	} else {
+	default:
 		r.scheduleRead(min(2*r.readInterval, readIntervalMax))
 	}
 	foundOwn := false
--- a/internal/relay/registry/registry_test.go
+++ b/internal/relay/registry/registry_test.go
@@ -137,6 +137,24 @@
 	f.waitForOther(2, 1, time.Second)
 }
 
+// TestSlowStarterIsFound guards against two processes of which neither sees the other for
+// seconds: both have read the list before either wrote its entry, and one of them needed
+// longer for that than the other waits until it reads again.
+func TestSlowStarterIsFound(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.start(1, 1)
+	f.waitUntil(time.Second, func() bool { return f.entry(1) != nil })
+	time.Sleep(earlyReadInterval + 150*time.Millisecond)
+	value, err := proto.Marshal(&message.Record{Instance: 2, Service: "padron", DataCentre: "a", Incarnation: 1, Sequence: 1})
+	qt.Assert(t, err, qt.IsNil)
+	lease, err := f.client().Grant(context.Background(), leaseTTL)
+	qt.Assert(t, err, qt.IsNil)
+	_, _, err = f.client().Commit(context.Background(), nil, []store.Put{{Key: Prefix + store.Key(flow.IP(2).String()), Value: value, Lease: lease}})
+	qt.Assert(t, err, qt.IsNil)
+	f.waitForOther(1, 2, time.Second)
+}
+
 func TestMissingEntryIsRewritten(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
