--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -94,7 +94,7 @@
 	// last one.
 	readInterval   time.Duration
 	earlyReadUntil time.Time
-	listed       map[store.Key]store.Revision
+	listed         map[store.Key]store.Revision
 	// leaseEra is the store's era in which the process was granted the lease or found its
 	// entry under it.
 	leaseEra     store.Era
