--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -231,8 +231,8 @@
 	return m
 }
 
-// TakeStarted returns the members whose process was unknown at the last call and has not
-// heard of this process from it yet.
+// TakeStarted returns the members of which a new process has become known since the last
+// call. They may not know this process yet.
 func (t *Table) TakeStarted() []flow.IP {
 	s := t.started
 	t.started = nil
