--- a/internal/standin/relay/traffic_test.go
+++ b/internal/standin/relay/traffic_test.go
@@ -30,6 +30,7 @@
 // which took nearly all processor time of agents and nearly all bytes between data centres
 // in a fleet of 200.
 func TestReportsDoNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
 	const (
 		settle, seconds = 5 * time.Second, 4
 		// An agent's reports are 8 local ones every 50 ms, 8 remote ones every 150 ms
@@ -68,6 +69,7 @@
 // TestChangesDoNotMakeAllReport guards against a fleet in which each process that starts, and
 // each upstream that is replaced, makes all others report to all.
 func TestChangesDoNotMakeAllReport(t *testing.T) {
+	t.Parallel()
 	const size, restarts = 200, 20
 	cfg := WideRegistro(32, size)
 	cfg.Callers = nil
