Show flows that no packet reaches after a route has left their service

Cause: after restarts of frontends and side machines, a search for a flow of a service that its route no longer names must not deliver its packets, and the agent beside the flow's target does not know the flow.

--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -46,6 +46,9 @@
 	flows      map[flowID]*targetFlow
 	// opened holds the arrival times of the first packets of the flows that it accepted.
 	opened map[flowID]time.Time
+	// arrivals holds the arrival times of all packets but the first ones, also of flows that
+	// it does not hold.
+	arrivals map[flowID][]time.Time
 }
 
 // startTarget starts a target on a machine. clock is how far the time of day of its machine
@@ -62,6 +65,7 @@
 	t := &target{
 		f: f, m: m, id: id, born: time.Now().Add(clock).UnixMilli(), udp: udp, alive: true, control: m.addr(portControl),
 		flows: make(map[flowID]*targetFlow), opened: make(map[flowID]time.Time),
+		arrivals: make(map[flowID][]time.Time),
 	}
 	t.health = &http.Server{Handler: http.HandlerFunc(t.serveHealth), ReadHeaderTimeout: time.Second}
 	go func() { _ = t.health.Serve(tcp) }()
@@ -226,6 +230,9 @@
 	}
 	id := flowOfClientPacket(h)
 	x := t.flows[id]
+	if h.Flags&flagSyn == 0 {
+		t.arrivals[id] = append(t.arrivals[id], time.Now())
+	}
 	switch {
 	case h.Flags&flagSyn != 0:
 		if x == nil {
