--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Runs the case on the built daemons; see claim.txt. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin idle-flow review/1/record.txt
+exec target/review-standin idle-flow review/3/record.txt
