--- a/review/standin/lateleave.go
+++ b/review/standin/lateheartbeat.go
@@ -2,16 +2,15 @@
 
 import (
 	"fmt"
+	"syscall"
 	"time"
 )
 
-// Figures of the case late-leave.
+// Figures of the case late-heartbeat.
 const (
 	flowsPerCase = 40
 	// restartsAfter is how long a target is down before it starts again.
 	restartsAfter = time.Second
-	// afterHeartbeat is how long after a heartbeat of the new target a held call arrives.
-	afterHeartbeat = 150 * time.Millisecond
 )
 
 // scene is a small deployment with two frontends and three targets of one service.
@@ -79,31 +78,29 @@
 	return breaches
 }
 
-// playLateLeave drains a target and starts it again under its id. With trouble, the leave of
-// the first incarnation arrives when the second one has open flows.
-func playLateLeave(f *fleet, trouble bool) (breaches []string, err error) {
+// playLateHeartbeat crashes a target and starts another one on its machine. Later frontends
+// and side machines are stopped and started in turn. With trouble, the last heartbeat of the
+// target that crashed arrives after that.
+func playLateHeartbeat(f *fleet, trouble bool) (breaches []string, err error) {
 	s, err := newScene(f)
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(stableWindow)
 	first := s.targets[0]
 	proxy, err := f.startHoldingProxy(first.m)
 	if err != nil {
 		return nil, err
 	}
 	defer proxy.release()
-	if first.drain().IsZero() {
-		return nil, fmt.Errorf("the agent did not acknowledge that the target drains")
-	}
-	time.Sleep(drainFor + 500*time.Millisecond)
+	time.Sleep(stableWindow)
 	if trouble {
 		first.callThrough(proxy.addr())
+		go first.sendHeartbeat()
+		time.Sleep(100 * time.Millisecond)
 	}
-	first.leave()
 	first.stop()
 	time.Sleep(restartsAfter)
-	second, err := f.startTarget(first.m, first.id, 0)
+	second, err := f.startTarget(first.m, "i-1b", 0)
 	if err != nil {
 		return nil, err
 	}
@@ -114,9 +111,29 @@
 	}
 	f.add("open flows", "target", second.id, "born", second.born, "flows", len(flows))
 	second.awaitHeartbeat()
-	time.Sleep(afterHeartbeat)
-	f.add("held calls arrive")
-	proxy.release()
-	time.Sleep(3 * time.Second)
+	rolled := []*machine{s.sides[0], s.sides[1], s.frontends[0], s.frontends[1]}
+	for i, m := range rolled {
+		go func() {
+			if err := m.restart(syscall.SIGTERM); err != nil {
+				f.add("restart failed", "machine", m.name, "reason", err)
+			}
+			if i == 0 {
+				f.add("held calls arrive")
+				proxy.release()
+			}
+		}()
+		time.Sleep(rollGap)
+	}
+	time.Sleep(4 * time.Second)
+	done := make(chan struct{})
+	for i, x := range flows {
+		go func() {
+			x.request(fmt.Sprintf("second-%d", i+1), requestTimeout)
+			done <- struct{}{}
+		}()
+	}
+	for range flows {
+		<-done
+	}
 	return findResets(flows, second), nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,10 +32,10 @@
 // cases maps the names of the cases to the functions that play them. A function returns
 // the breaches of the rule.
 var cases = map[string]func(f *fleet, trouble bool) (breaches []string, err error){
-	"idle-flow":     playIdleFlow,
-	"clock-restart": playClockRestart,
-	"route-move":    playRouteMove,
-	"late-leave":    playLateLeave,
+	"idle-flow":      playIdleFlow,
+	"clock-restart":  playClockRestart,
+	"route-move":     playRouteMove,
+	"late-heartbeat": playLateHeartbeat,
 }
 
 func main() {
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -170,17 +170,6 @@
 	}
 }
 
-// leave reports that the target leaves.
-func (t *target) leave() {
-	t.mu.Lock()
-	t.sequence++
-	sequence := t.sequence
-	t.mu.Unlock()
-	t.f.add("target sends Leave", "id", t.id, "born", t.born, "sequence", sequence)
-	status := t.call("Leave", fmt.Sprintf(`{"born":%d,"sequence":%d}`, t.born, sequence))
-	t.f.add("Leave", "id", t.id, "status", status)
-}
-
 // drain makes the target report that it drains and returns when that was acknowledged.
 func (t *target) drain() (acked time.Time) {
 	t.mu.Lock()
