--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -61,12 +63,17 @@
 		return exitFailed
 	}
 	defer f.close()
-	watchdog := time.AfterFunc(maxRunTime, func() {
-		rec.add("failed", "reason", "the case took too long")
+	giveUp := func(reason string) {
+		rec.add("failed", "reason", reason)
 		f.close()
+		rec.close()
 		os.Exit(exitFailed)
-	})
+	}
+	watchdog := time.AfterFunc(maxRunTime, func() { giveUp("the case took too long") })
 	defer watchdog.Stop()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() { giveUp("stopped by " + (<-stop).String()) }()
 	breaches, err := cases[name](f, trouble)
 	for _, b := range breaches {
 		rec.add("BROKEN", "what", b)
