--- a/review/standin/idleflow.go
+++ b/review/standin/idleflow.go
@@ -11,7 +11,7 @@
 const (
 	idleFlows = 40
 	// rollGap is the pause between the planned restarts.
-	rollGap = time.Second
+	rollGap = 1300 * time.Millisecond
 	// firstRequestAfter is when the clients send the first request on their open flows: later
 	// than the planned restarts, well before the flows may be discarded.
 	firstRequestAfter = 9 * time.Second
