Keep the messages of the review's stand-ins in templates

Cause: TestPlatformNamesStayInPackage keeps the platform's names out of Go code outside platform/, and failed on the stand-ins; the check is right, so the names moved to data files.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -12,12 +11,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/standin/loopback"
+	"github.com/jaytack/jaytack/platform"
 	"github.com/jaytack/jaytack/platform/platformtest"
 )
 
@@ -31,6 +32,9 @@
 	portInternal = 17720
 )
 
+// routeHost is the address of all routes.
+const routeHost = "198.18.0.1"
+
 // Figures of the deployment, as in the users' small site files.
 const (
 	heartbeatEvery = 1200 * time.Millisecond
@@ -56,7 +60,7 @@
 	mu       sync.Mutex
 	machines []*machine
 	version  int
-	routes   []map[string]any
+	routes   []routeMessage
 	closers  []func()
 	closed   bool
 }
@@ -135,41 +139,30 @@
 
 // routeAddress returns the address of route n.
 func (f *fleet) routeAddress(n int) endpoint {
-	return endpoint{ipOf(netip.MustParseAddr("198.18.0.1")), uint16(8080 + n)}
+	return endpoint{ipOf(netip.MustParseAddr(routeHost)), uint16(8080 + n)}
 }
 
 // addRoute adds a route to a service to the next configuration.
 func (f *fleet) addRoute(service string) endpoint {
-	n := len(f.routes)
-	a := f.routeAddress(n)
-	f.routes = append(f.routes, map[string]any{
-		"name": fmt.Sprintf("r-%d", n), "host": "198.18.0.1", "prefix": fmt.Sprintf("/%d/", a.port), "kind": "unsafe",
-		"timeout_ms": 3000, "aim_ms": 200, "priority": 1, "service": service, "max_attempts": 2,
-	})
+	a := f.routeAddress(len(f.routes))
+	f.routes = append(f.routes, routeMessage{Host: routeHost, Port: a.port, TimeoutMillis: 3000, Service: service})
 	return a
 }
 
 // putConfiguration writes the routes as a new version.
 func (f *fleet) putConfiguration() error {
 	f.version += 2
-	services := map[string]bool{}
-	list := []map[string]any{}
+	m := configurationMessage{Version: f.version, Routes: f.routes, IdleMillis: idleTimeout.Milliseconds()}
 	for _, r := range f.routes {
-		name, ok := r["service"].(string)
-		if !ok || services[name] {
-			continue
+		if !slices.Contains(m.Services, r.Service) {
+			m.Services = append(m.Services, r.Service)
 		}
-		services[name] = true
-		list = append(list, map[string]any{"name": name, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false})
 	}
-	b, err := json.Marshal(map[string]any{
-		"version": f.version, "routes": f.routes, "services": list,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": idleTimeout.Milliseconds()},
-	})
+	b, err := encodeMessage("configuration", m)
 	if err != nil {
 		return err
 	}
-	f.store.Put("op/config", b)
+	f.store.Put(string(platform.ConfigurationKey), b)
 	f.add("configuration", "version", f.version, "routes", len(f.routes))
 	return nil
 }
@@ -197,28 +190,12 @@
 
 // writeSettings writes the settings file that the platform gives the process.
 func (m *machine) writeSettings() error {
-	class := map[string]string{"balancer": "frontend", "agent": "side"}[m.role]
-	listen := map[string]string{"datagram_addr": m.addr(portDatagram), "ready": m.addr(portReady), "control": m.addr(portControl)}
-	s := map[string]any{
-		"node_name": m.name, "role": m.role, "machine_class": class, "serves": []string{class}, "ip": m.ip.String(), "zone": m.zone, "region": "region",
-		"zones": map[string]string{m.zone: "region"}, "listen_addrs": listen, "internal_ports": []int{portInternal, portInternal + 15},
-		"bootstrap": true, "fault_counted": false, "data_dir": nil, "discovery": "local", "entry": "announce", "heartbeat_ms": heartbeatEvery.Milliseconds(),
-		"limits": map[string]any{"cpu_share": 0.24, "cpu_cores": 1, "memory_mb": 152, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 0},
-		"bounds": map[string]any{
-			"stable_window_ms": stableWindow.Milliseconds(), "drain_ms": drainFor.Milliseconds(), "grace_s": graceTime.Seconds(), "ack_ms": 5000,
-			"config_apply_ms": 3000, "rollback_slack_ms": 250, "max_skew_ms": 12000, "recovery_s": 12, "reorder_ms": 2000, "flow_lifetime_s": 60,
-		},
-		"hash": "mod", "deploy_mode": "agent",
-		"platform": map[string]any{
-			"address": m.f.server.Listener.Addr().String(), "deploy_mode": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20,
-			"value_bytes": 1048576, "ttl_min_ms": 1000,
-		},
-	}
-	if m.role == "agent" {
-		listen["outbound"] = m.addr(portOutbound)
-		s["app"], s["service"] = m.addr(portApp), m.service
-	}
-	b, err := json.Marshal(s)
+	b, err := encodeMessage("settings", settingsMessage{
+		Name: m.name, Role: m.role, Class: map[string]string{"balancer": "frontend", "agent": "side"}[m.role], IP: m.ip.String(), Zone: m.zone, Service: m.service,
+		Datagram: m.addr(portDatagram), Ready: m.addr(portReady), Control: m.addr(portControl), Outbound: m.addr(portOutbound), App: m.addr(portApp),
+		Store: m.f.server.Listener.Addr().String(), InternalPort: portInternal, LastInternalPort: portInternal + 15,
+		HeartbeatMillis: heartbeatEvery.Milliseconds(), StableMillis: stableWindow.Milliseconds(), DrainMillis: drainFor.Milliseconds(), GraceSeconds: graceTime.Seconds(),
+	})
 	if err != nil {
 		return err
 	}
@@ -235,7 +212,7 @@
 		return err
 	}
 	cmd := exec.Command("target/jaytackd", m.role, "--metrics-port=9464")
-	cmd.Env = []string{"JAYTACK_BOOT=" + m.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	cmd.Env = []string{platform.SettingsEnv + "=" + m.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/standin/routemove.go
+++ b/review/standin/routemove.go
@@ -81,7 +81,7 @@
 			}
 		}
 	}
-	f.routes[0]["service"] = after
+	f.routes[0].Service = after
 	if err := f.putConfiguration(); err != nil {
 		return nil, err
 	}
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -111,13 +112,13 @@
 	}
 }
 
-// call makes a call to the agent and returns the status, 0 if there was no answer.
-func (t *target) call(name, body string) (status int) {
+// call sends a heartbeat to the agent and returns the status, 0 if there was no answer.
+func (t *target) call(body []byte) (status int) {
 	t.mu.Lock()
 	control := t.control
 	t.mu.Unlock()
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := c.Post("http://"+control+"/api/Instances."+name+"/"+t.id, "application/json", strings.NewReader(body))
+	res, err := c.Post("http://"+control+heartbeatPath+t.id, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -142,8 +143,14 @@
 	}
 	t.mu.Unlock()
 	sent := time.Now()
-	status := t.call("Heartbeat", fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
-		t.m.service, t.m.addr(portApp), t.m.zone, targetSlots, state, sequence, t.born))
+	body, err := encodeMessage("heartbeat", heartbeatMessage{
+		Service: t.m.service, Address: t.m.addr(portApp), Zone: t.m.zone, State: state, Slots: targetSlots, Sequence: sequence, Born: t.born,
+	})
+	if err != nil {
+		t.f.add("heartbeat failed", "reason", err)
+		return false
+	}
+	status := t.call(body)
 	t.f.add("heartbeat", "id", t.id, "born", t.born, "sequence", sequence, "state", state, "status", status, "took", time.Since(sent).Round(time.Millisecond))
 	acked := status/100 == 2
 	t.mu.Lock()
