--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -32,9 +32,6 @@
 	portInternal = 17720
 )
 
-// routeHost is the address of all routes.
-const routeHost = "198.18.0.1"
-
 // Figures of the deployment, as in the users' small site files.
 const (
 	heartbeatEvery = 1200 * time.Millisecond
@@ -137,15 +134,19 @@
 	f.closers = append(f.closers, c)
 }
 
+// routeHost returns the address of all routes. Nothing listens there: it stands in packets
+// only.
+func (f *fleet) routeHost() netip.Addr { return f.network.Addr(250, 1) }
+
 // routeAddress returns the address of route n.
 func (f *fleet) routeAddress(n int) endpoint {
-	return endpoint{ipOf(netip.MustParseAddr(routeHost)), uint16(8080 + n)}
+	return endpoint{ipOf(f.routeHost()), uint16(8080 + n)}
 }
 
 // addRoute adds a route to a service to the next configuration.
 func (f *fleet) addRoute(service string) endpoint {
 	a := f.routeAddress(len(f.routes))
-	f.routes = append(f.routes, routeMessage{Host: routeHost, Port: a.port, TimeoutMillis: 3000, Service: service})
+	f.routes = append(f.routes, routeMessage{Host: f.routeHost().String(), Port: a.port, TimeoutMillis: 3000, Service: service})
 	return a
 }
 
