--- a/review/standin/clockrestart.go
+++ b/review/standin/clockrestart.go
@@ -26,7 +26,7 @@
 	const service = "padron"
 	f.addMachine(1, "")
 	f.addMachine(1, "")
-	sides := []*machine{f.addMachine(1, service), f.addMachine(1, service), f.addMachine(1, service)}
+	sides := f.addSides(service, sceneTargets)
 	route := f.addRoute(service)
 	if err := f.putConfiguration(); err != nil {
 		return nil, err
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -181,6 +181,15 @@
 	return m
 }
 
+// addSides adds n side machines of a service.
+func (f *fleet) addSides(service string, n int) []*machine {
+	var out []*machine
+	for range n {
+		out = append(out, f.addMachine(1, service))
+	}
+	return out
+}
+
 func (m *machine) addr(port int) string { return m.ip.String() + ":" + strconv.Itoa(port) }
 
 func (m *machine) udpAddr(port int) *net.UDPAddr {
