Keep the history of the routes in the store

Cause: only the memory of the balancers held which services a route had named. A balancer that has restarted lists such a service as unnamed, so that its agents may not deliver packets of which they know nothing, and those that have restarted as well neither deliver nor deny.

Change: balancers store the services that each address is or was routed to (key jaytack/routes, no lease, compare-and-swap, the lowest balancer first, the others in turn if it does not) and read them at the start and in each new era. Ruled out: passing the history on among balancers (lost when all are killed), the addresses of the checkpoint (misses flows younger than it), and delivery to unnamed services (a packet could reach a service that never had the address).

--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -47,6 +47,7 @@
 	peerConn   *transport.Conn
 	registry   *registry.Registry
 	syncer     *configsync.Syncer
+	history    *configsync.HistorySyncer
 	done       chan struct{}
 
 	mu     sync.Mutex
@@ -97,6 +98,16 @@
 	}
 	syncConfig.OnStoreHealth = onStoreHealth("Follower")
 	b.syncer = configsync.New(syncConfig, p.Store, p.Logger)
+	b.history = configsync.NewHistory(configsync.HistoryConfig{
+		OnStored: func(h []routes.History) {
+			b.update(func(c *forwarding.Core) { c.ApplyHistory(b.Now(), h) })
+		},
+		Due: func() ([]routes.History, bool) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.core.HistoryToStore(b.Now())
+		},
+	}, p.Store, p.Logger)
 	b.registry = registry.New(registry.Config{
 		Self: p.Self(), Record: b.record,
 		OnRead: func(recs []*message.Record) {
@@ -237,6 +248,7 @@
 func (b *Balancer) Close() {
 	close(b.done)
 	b.syncer.Close()
+	b.history.Close()
 	b.registry.Close()
 	b.Process.Close()
 	b.peerConn.Close()
--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -166,7 +166,7 @@
 		s.reportStoreHealth(err)
 		if err != nil {
 			s.nextRead = time.Time{}
-			s.wait(ctx, s.nextDelay())
+			wait(ctx, s.nextDelay())
 		}
 	}
 }
@@ -299,14 +299,6 @@
 	return watching
 }
 
-// wait waits for d or until ctx is done.
-func (s *Syncer) wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // watch applies changes until the key is due for a read.
 func (s *Syncer) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -329,7 +321,7 @@
 			break
 		}
 		if !s.shouldWatch() {
-			s.wait(ctx, watchCheckInterval)
+			wait(ctx, watchCheckInterval)
 			continue
 		}
 		rev, err := s.store.Watch(ctx, s.Key, s.watchRevision, func(kv store.KV) { s.handleChange(kv, "Watch") })
@@ -337,7 +329,7 @@
 		case ctx.Err() != nil || s.store.Era() != s.era:
 		case eris.Is(err, store.ErrCompacted):
 			s.nextRead = time.Time{}
-			s.wait(ctx, retryMin)
+			wait(ctx, retryMin)
 		case err != nil:
 			return err
 		default:
--- a/internal/relay/flow/flow.go
+++ b/internal/relay/flow/flow.go
@@ -57,6 +57,11 @@
 // String returns the endpoint as address:port.
 func (e Endpoint) String() string { return e.IP.String() + ":" + strconv.Itoa(int(e.Port)) }
 
+// Compare orders endpoints by IP, then by port.
+func (e Endpoint) Compare(o Endpoint) int {
+	return cmp.Or(cmp.Compare(e.IP, o.IP), cmp.Compare(e.Port, o.Port))
+}
+
 // EndpointOf returns the endpoint of an IPv4 address and port.
 func EndpointOf(a netip.AddrPort) Endpoint { return Endpoint{IPOf(a.Addr()), a.Port()} }
 
@@ -73,8 +78,7 @@
 
 // Compare orders flows by caller, then by address.
 func (id ID) Compare(o ID) int {
-	return cmp.Or(cmp.Compare(id.Caller.IP, o.Caller.IP), cmp.Compare(id.Caller.Port, o.Caller.Port),
-		cmp.Compare(id.Address.IP, o.Address.IP), cmp.Compare(id.Address.Port, o.Address.Port))
+	return cmp.Or(id.Caller.Compare(o.Caller), id.Address.Compare(o.Address))
 }
 
 // Hash returns a hash that is the same in all processes.
--- a/internal/relay/forwarding/configuration.go
+++ b/internal/relay/forwarding/configuration.go
@@ -45,6 +45,7 @@
 	}
 	c.LogStateChange("ConfigurationApplied", "Version", cfg.Version, "Before", previous, "Routes", len(cfg.Routes), "Source", source, "Reported", c.sinceNewerVersion(now))
 	c.newerVersionSince = 0
+	c.restoreHistory(now)
 	c.nextReport = min(c.nextReport, now)
 	c.forwardQueued(now)
 }
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -131,6 +131,7 @@
 	// unwatchedSince is when too few balancers were first seen to watch the store, 0 if
 	// enough do.
 	unwatchedSince instant.Instant
+	history        storedHistory
 	// failedComponents holds the components of the process that cannot reach the store.
 	failedComponents map[string]bool
 }
@@ -297,7 +298,9 @@
 		delete(c.hints, id)
 		return
 	}
-	c.Routes.RecordService(now, id.Address, owner.Service)
+	if c.Routes.RecordService(now, id.Address, owner.Service) {
+		c.checkHistory(now)
+	}
 	if c.hints[id] != nil || len(c.hints) < maxHints {
 		c.hints[id] = &hint{owner.ID(), owner.Service, now}
 	}
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -182,17 +182,53 @@
 }
 
 // RecordService records that a service holds an open flow of an address. If the route
-// does not name it, a version that this table has not seen did.
-func (t *Table) RecordService(now instant.Instant, a flow.Endpoint, service string) {
+// does not name it, a version that this table has not seen did, and it is added.
+func (t *Table) RecordService(now instant.Instant, a flow.Endpoint, service string) (added bool) {
 	r := t.routes[a]
 	if r == nil || r.HasService(service) {
-		return
+		return false
 	}
 	r.FormerServices = append([]string{service}, r.FormerServices...)
 	if len(r.FormerServices) > maxFormerServices {
 		r.FormerServices = r.FormerServices[:maxFormerServices]
 		t.historySince = now
 	}
+	return true
+}
+
+// History lists the services that an address is routed to and those that it was routed to
+// before, the latest first.
+type History struct {
+	Address  flow.Endpoint
+	Services []string
+}
+
+// History returns the history of all routes, ordered by address.
+func (t *Table) History() []History {
+	out := make([]History, 0, len(t.routes))
+	for a, r := range t.routes {
+		out = append(out, History{a, r.Services()})
+	}
+	slices.SortFunc(out, func(a, b History) int { return a.Address.Compare(b.Address) })
+	return out
+}
+
+// Restore adds the services of a history as former services of the routes that do not name
+// them, and returns how many it has added.
+func (t *Table) Restore(history []History) (added int) {
+	for _, h := range history {
+		r := t.routes[h.Address]
+		if r == nil {
+			continue
+		}
+		for _, s := range h.Services {
+			if len(r.FormerServices) < maxFormerServices && !r.HasService(s) {
+				r.FormerServices = append(r.FormerServices, s)
+				added++
+			}
+		}
+	}
+	return added
 }
 
 // Lookup returns the route of an address, nil if there is none. known is false if no
--- /dev/null
+++ b/internal/standin/relay/formerservice_test.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jaytack/jaytack/internal/relay/routes"
+)
+
+// TestFlowsOfAFormerServiceOutliveRestarts guards against open flows of a service that their
+// route no longer names and whose packets reach no upstream, or others only, once balancers and
+// agents have restarted.
+func TestFlowsOfAFormerServiceOutliveRestarts(t *testing.T) {
+	const (
+		moved     = 4 * time.Second
+		restarted = 6 * time.Second
+		down      = 300 * time.Millisecond
+	)
+	tests := []struct {
+		name string
+		// restartAt returns when the i-th of n processes of a role restarts.
+		restartAt func(i, n int) time.Duration
+	}{
+		{"InTurn", func(i, _ int) time.Duration { return restarted + time.Duration(i)*400*time.Millisecond }},
+		{"InHalves", func(i, n int) time.Duration { return restarted + time.Duration(2*i/n)*500*time.Millisecond }},
+		{"AllAtOnce", func(_, _ int) time.Duration { return restarted }},
+	}
+	for _, test := range tests {
+		for _, seed := range []uint64{1, 2, 3} {
+			t.Run(fmt.Sprint(test.name, seed), func(t *testing.T) {
+				t.Parallel()
+				cfg := Kitambaa(seed)
+				cfg.Services[1].Upstreams = 11
+				w := New(cfg)
+				w.ReportStrays = true
+				w.At(moved, func() { w.Configure(Address(0), routes.Share{Service: cfg.Services[1].Name, Weight: 1}) })
+				end := time.Duration(0)
+				for _, ps := range [][]*Process{w.Balancers, w.Agents} {
+					for i, p := range ps {
+						at := test.restartAt(i, len(ps))
+						end = max(end, at+down)
+						w.At(at, func() { w.Restart(p, down) })
+					}
+				}
+				w.Run(end + 8*time.Second)
+				qt.Assert(t, w.Violations, qt.HasLen, 0)
+				answered, unanswered := 0, 0
+				for _, r := range w.Results {
+					switch {
+					case r.Kind.Service != 0 || r.At < restarted:
+					case r.Latency > 0:
+						answered++
+					default:
+						unanswered++
+					}
+				}
+				qt.Assert(t, answered > 500, qt.IsTrue, qt.Commentf("%d answered", answered))
+				qt.Assert(t, unanswered, qt.Equals, 0, qt.Commentf("of %d", answered+unanswered))
+			})
+		}
+	}
+}
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -149,6 +149,11 @@
 		}
 		p.Balancer.ApplyStored(w.now, recs)
 		p.Balancer.ApplyConfiguration(w.now, &routes.Configuration{Version: w.configurationVersion, Routes: slices.Clone(w.Routes)}, "Read")
+		p.Balancer.ApplyHistory(w.now, w.history)
+		if h, due := p.Balancer.HistoryToStore(w.now); due {
+			w.history = h
+			p.Balancer.ApplyHistory(w.now, h)
+		}
 	})
 	w.after(membershipInterval, func() { w.refreshMembership(p, start) })
 }
@@ -194,10 +199,11 @@
 // CopyEntries returns a function that puts the store's entries back to what they are now, each
 // with its full lifetime, and removes all later ones.
 func (w *World) CopyEntries() (restore func()) {
-	entries, checkpoints := maps.Clone(w.entries), maps.Clone(w.checkpoints)
+	entries, checkpoints, history := maps.Clone(w.entries), maps.Clone(w.checkpoints), w.history
 	return func() {
 		w.storeEra++
 		w.LoseEntries()
+		w.history = history
 		for ip, e := range entries {
 			w.entries[ip] = &entry{e.record, w.now.Add(entryTTL)}
 		}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -134,8 +134,10 @@
 	processes      map[flow.IP]*Process
 	entries        map[flow.IP]*entry
 	// storeEra counts the restores of the store.
-	storeEra             int64
-	checkpoints          map[flow.IP]*message.Checkpoint
+	storeEra    int64
+	checkpoints map[flow.IP]*message.Checkpoint
+	// history is the history of the routes that balancers have stored.
+	history              []routes.History
 	callerFlows          map[flow.Endpoint]*callerFlow
 	configurationVersion routes.Version
 	allowedServices      map[flow.Endpoint][]string
