Reset no flow while the services that may hold it are not known

Cause: a balancer that has its configuration, but has not read its members, lists the services of the agents that happen to have reported. The lists were marked as complete, so that denials by all listed services counted as proof. Evidence: TestServicesAreIncompleteUntilMembersAreRead on the code before: the list lacks the former service and is marked as complete.

Change: the lists are complete only if this process has seen the route for the lifetime of a flow, or has read its members and the stored history of the route, or knows all members.

Test: TestServicesAreIncompleteUntilMembersAreRead fails before, passes now.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -247,13 +247,13 @@
 // setOtherServices lists the other services that may hold the flow of a packet: those
 // that the route names or has named, and all unnamed ones, since this process may have
 // missed the version that named one of them. With more than maxSearchedServices services
-// the unnamed ones are left out, and the lists are incomplete unless the table's history
-// covers the lifetime of the flow.
+// the unnamed ones are left out.
 func (c *Core) setOtherServices(now instant.Instant, m *message.Carried, r *routes.Route) {
 	m.Others = r.OtherServices(m.Service)
 	all := c.Members.Services()
-	if len(all) > maxSearchedServices {
-		m.OthersIncomplete = !c.Routes.HasHistory(now, c.FlowLifetime)
+	listsAll := len(all) <= maxSearchedServices
+	m.OthersIncomplete = !c.knowsServices(now, r, listsAll)
+	if !listsAll {
 		return
 	}
 	for _, s := range all {
@@ -263,6 +263,19 @@
 	}
 }
 
+// knowsServices reports whether all services that may hold flows of a route are known: the
+// table or the store has the history of the route, or listsAll is set and all services that
+// have agents are known.
+func (c *Core) knowsServices(now instant.Instant, r *routes.Route, listsAll bool) bool {
+	switch {
+	case c.Routes.HasHistory(now, c.FlowLifetime):
+		return true
+	case !c.Members.IsLoaded():
+		return false
+	}
+	return c.history.services[r.Address] != nil || listsAll && c.Members.IsSettled(now)
+}
+
 // handleNoAgent handles a packet to a service without known agents. It resets a new
 // flow only if the membership table is settled and the flow cannot be open already;
 // otherwise it queues the packet.
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -10,6 +10,7 @@
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/forwarding"
+	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/routes"
 )
@@ -176,3 +177,42 @@
 	qt.Assert(t, validMillis(), qt.Equals, uint32(200))
 	qt.Assert(t, validMillis(), qt.Equals, uint32(0))
 }
+
+// TestServicesAreIncompleteUntilMembersAreRead guards against the reset of an open flow of a
+// service that its route no longer names: a balancer that has its configuration before its
+// members does not list that service.
+func TestServicesAreIncompleteUntilMembersAreRead(t *testing.T) {
+	id := flow.ID{Caller: flow.Endpoint{IP: 1, Port: 1025}, Address: flow.Endpoint{IP: 9, Port: 443}}
+	named := &message.Record{Instance: 10, Service: "padron", DataCentre: "a", Incarnation: 1, Sequence: 1}
+	former := &message.Record{Instance: 11, Service: "recuento", DataCentre: "a", Incarnation: 1, Sequence: 1}
+	codec := flow.Codec{DecodeFromCaller: func([]byte) (flow.Packet, bool) { return flow.Packet{Flow: id, Flags: flow.Ack}, true }}
+	c := forwarding.New(forwarding.Config{Self: 20, DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime})
+	now := instant.Instant(time.Second)
+	c.ApplyConfiguration(now, &routes.Configuration{Version: 5, Routes: []routes.Route{{Address: id.Address, Shares: []routes.Share{{Service: "padron", Weight: 1}}}}}, "Read")
+	sent := func() *message.Carried {
+		c.TakeOutput()
+		c.HandlePacket(now, nil)
+		actions, _ := c.TakeOutput()
+		for _, a := range actions {
+			if m := a.Message.GetCarried(); m != nil {
+				return m
+			}
+		}
+		return nil
+	}
+	sendReportOf(c, now, &message.Report{Record: named})
+	qt.Check(t, sent().GetOthersIncomplete(), qt.IsTrue, qt.Commentf("a member has reported, none is read"))
+	c.ApplyHistory(now, []routes.History{{Address: id.Address, Services: []string{"padron"}}})
+	qt.Check(t, sent().GetOthersIncomplete(), qt.IsTrue, qt.Commentf("the history is read before the members"))
+	c.ApplyHistory(now, nil)
+	c.ApplyStored(now, []*message.Record{named})
+	qt.Check(t, sent().GetOthersIncomplete(), qt.IsTrue, qt.Commentf("the store may have lost entries"))
+	c.ApplyHistory(now, []routes.History{{Address: id.Address, Services: []string{"padron"}}})
+	qt.Check(t, sent().GetOthersIncomplete(), qt.IsFalse, qt.Commentf("the store has the history"))
+	c.ApplyHistory(now, nil)
+	now = now.Add(membership.SettleAfter)
+	c.ApplyStored(now, []*message.Record{named, former})
+	m := sent()
+	qt.Check(t, m.GetOthersIncomplete(), qt.IsFalse)
+	qt.Check(t, m.GetUnnamed(), qt.DeepEquals, []string{"recuento"})
+}
