Ask agents what they know of a flow before packets reach other upstreams

Cause: a search delivered the caller's packet at once to each upstream whose agent did not know all its flows, although the agent of the flow's own upstream mostly knows it and would have claimed it.

Change: the first round of a search only asks. Packets are delivered once all agents have answered without a claim, or after 30 ms; also only then if the flow is searched in other services of the route at the same time. Cost: a round trip for flows that nobody knows.

Conclusion: packets reach other upstreams only while no agent knows the flow.

--- a/internal/relay/lookup/lookup.go
+++ b/internal/relay/lookup/lookup.go
@@ -1,8 +1,9 @@
 // Package lookup maps flows to their owners and tracks the searches for unknown
 // owners, on behalf of the agent that is the home of the flows.
 //
-// A home that does not know a flow's owner probes all agents of the service at once.
-// A search ends with a claim, or once every agent of the service has denied the flow,
+// A home that does not know a flow's owner probes all agents of the service at once. It
+// first asks what they know of the flow. Only if none knows it does it have the packet
+// delivered to the upstreams whose agents are unsure. A search ends with a claim, or once every agent of the service has denied the flow,
 // which proves that no upstream holds it. A denial stays valid, since an open flow
 // never moves to another upstream. An agent that does not respond keeps the search
 // open. It is probed again a few times, since some of the many probes and responses
@@ -57,7 +58,11 @@
 type Search struct {
 	// StartedAt is when the search began; ProbedAt is when agents were last probed.
 	StartedAt, ProbedAt, lastUsed instant.Instant
-	denied, unlisted              map[flow.IP]bool
+	// denied, unsure and unlisted hold agents.
+	denied, unsure, unlisted map[flow.IP]bool
+	// Asking is set while agents are asked what they know of the flow and no packet is
+	// delivered to upstreams that may not hold it.
+	Asking bool
 	// LastPacket is the packet sent with the last probes.
 	LastPacket *message.Carried
 	queue      []*message.Carried
@@ -84,6 +89,12 @@
 // AddDenial records that an agent's upstream does not hold the flow.
 func (s *Search) AddDenial(agent flow.IP) { s.denied[agent] = true }
 
+// AddUnsure records that an agent does not know whether its upstream holds the flow.
+func (s *Search) AddUnsure(agent flow.IP) { s.unsure[agent] = true }
+
+// Answered reports whether an agent has denied the flow or does not know it.
+func (s *Search) Answered(agent flow.IP) bool { return s.denied[agent] || s.unsure[agent] }
+
 // AddUnlisted adds an agent that is listed in a denial but missing from the local
 // membership table. Its denial is then required too.
 func (s *Search) AddUnlisted(agent flow.IP) {
@@ -93,14 +104,17 @@
 	s.unlisted[agent] = true
 }
 
-// UnlistedPending reports whether an agent added by AddUnlisted has not denied the flow.
-func (s *Search) UnlistedPending() bool {
+// UnlistedPending returns the agents added by AddUnlisted that have not denied the flow, in
+// order.
+func (s *Search) UnlistedPending() []flow.IP {
+	var out []flow.IP
 	for a := range s.unlisted {
 		if !s.denied[a] {
-			return true
+			out = append(out, a)
 		}
 	}
-	return false
+	slices.Sort(out)
+	return out
 }
 
 // Denied reports whether an agent has denied the flow.
@@ -157,7 +171,7 @@
 		if len(t.searches) >= MaxSearches {
 			return nil
 		}
-		s = &Search{StartedAt: now, denied: make(map[flow.IP]bool)}
+		s = &Search{StartedAt: now, Asking: true, denied: make(map[flow.IP]bool), unsure: make(map[flow.IP]bool)}
 		t.searches[id] = s
 	}
 	s.lastUsed = now
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -64,9 +64,47 @@
 	s.ProbedAt = now
 	c.deliverElsewhere(now, p, m)
 	c.probeAgents(now, s, m)
+	c.finishAsking(now, p.Flow, s)
 	c.finishIfDenied(now, p.Flow, s)
 }
 
+// finishAsking has the packet of a search delivered to the upstreams whose agents are unsure,
+// once no agent is left that could know the owner. It waits for askTimeout if an agent does
+// not answer, or if the owner is also searched in other services and may be found there.
+func (c *Core) finishAsking(now instant.Instant, id flow.ID, s *lookup.Search) {
+	if !s.Asking || c.owners.ActiveSearch(id) != s {
+		return
+	}
+	if now.Sub(s.ProbedAt) < askTimeout && (len(s.LastPacket.GetOthers()) > 0 || !c.allAnswered(now, s)) {
+		return
+	}
+	s.Asking, s.ProbedAt = false, now
+	c.probeAgents(now, s, s.LastPacket)
+}
+
+// allAnswered reports whether all agents of the service have answered a search.
+func (c *Core) allAnswered(now instant.Instant, s *lookup.Search) bool {
+	for _, r := range c.Members.Agents(c.Service) {
+		if r.ID() != c.Self && !r.HasLeft(now) && !s.Answered(r.ID()) {
+			return false
+		}
+	}
+	for _, a := range s.UnlistedPending() {
+		if !s.Answered(a) {
+			return false
+		}
+	}
+	return s.Answered(c.Self)
+}
+
+// handleUnsure records that an agent does not know whether its upstream holds a flow.
+func (c *Core) handleUnsure(now instant.Instant, from flow.IP, id flow.ID) {
+	if s := c.owners.ActiveSearch(id); s != nil {
+		s.AddUnsure(from)
+		c.finishAsking(now, id, s)
+	}
+}
+
 // deliverElsewhere passes a packet of a flow whose owner is searched here to the homes of the
 // other services that the route names or has named. Otherwise the flow would get no packets
 // while the search waits for an agent of this service that restarts. The homes do not reset
@@ -85,18 +123,27 @@
 	s.LastPacket = m
 	for _, r := range c.Members.Agents(c.Service) {
 		if r.ID() != c.Self && !r.HasLeft(now) && !s.Denied(r.ID()) && c.mayProbe(now, r.ID()) {
-			c.probe(now, r.ID(), m)
+			c.probe(now, r.ID(), s, m)
+		}
+	}
+	for _, a := range s.UnlistedPending() {
+		if c.mayProbe(now, a) {
+			c.probe(now, a, s, m)
 		}
 	}
 	if !s.Denied(c.Self) {
-		c.probe(now, c.Self, m)
+		c.probe(now, c.Self, s, m)
 	}
 }
 
 // retryProbes repeats the probes of searches whose responses are overdue.
 func (c *Core) retryProbes(now instant.Instant) {
 	c.owners.Searches(func(id flow.ID, s *lookup.Search) {
-		if s.LastPacket == nil || s.Retries >= maxProbeRetries || now.Sub(s.ProbedAt) < probeRetryInterval {
+		if s.LastPacket == nil {
+			return
+		}
+		c.finishAsking(now, id, s)
+		if s.Retries >= maxProbeRetries || now.Sub(s.ProbedAt) < probeRetryInterval {
 			return
 		}
 		s.Retries++
@@ -134,6 +181,7 @@
 		s.AddDenial(from)
 	}
 	c.probeUnlisted(now, s, d.GetMembers())
+	c.finishAsking(now, id, s)
 	c.finishIfDenied(now, id, s)
 }
 
@@ -147,17 +195,17 @@
 		}
 		s.AddUnlisted(a)
 		if c.mayProbe(now, a) {
-			c.probe(now, a, s.LastPacket)
+			c.probe(now, a, s, s.LastPacket)
 		}
 	}
 }
 
 // probe sends a packet to an agent to find out whether its upstream holds the flow.
-func (c *Core) probe(now instant.Instant, to flow.IP, m *message.Carried) {
+func (c *Core) probe(now instant.Instant, to flow.IP, s *lookup.Search, m *message.Carried) {
 	c.Counts.Probes++
 	c.sendPacket(now, to, &message.Carried{
 		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true, MembersDigest: c.Members.Digest(c.Service),
-		TimeoutMillis: m.TimeoutMillis, Others: m.Others, Unnamed: m.Unnamed, OthersIncomplete: m.OthersIncomplete, KnownOnly: m.KnownOnly,
+		TimeoutMillis: m.TimeoutMillis, Others: m.Others, Unnamed: m.Unnamed, OthersIncomplete: m.OthersIncomplete, KnownOnly: m.KnownOnly || s.Asking,
 	}, message.Step_StepProbe)
 }
 
@@ -166,7 +214,7 @@
 // It does nothing if this agent's response to its own probe has already ended the search.
 func (c *Core) finishIfDenied(now instant.Instant, id flow.ID, s *lookup.Search) {
 	selfDenied := s.Denied(c.Self) || c.state == message.State_StateGone
-	if c.owners.ActiveSearch(id) != s || !c.Members.IsSettled(now) || !selfDenied || s.UnlistedPending() {
+	if c.owners.ActiveSearch(id) != s || !c.Members.IsSettled(now) || !selfDenied || len(s.UnlistedPending()) > 0 {
 		return
 	}
 	for _, r := range c.Members.Agents(c.Service) {
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -73,8 +73,9 @@
 	c.redeliveryQueue = append(c.redeliveryQueue, redeliveryPacket{now, m.Packet})
 }
 
-// handleProbe sends a claim or a denial to the prober of a flow. Only if it is unknown whether
-// the upstream holds the flow, it delivers the packet, and the upstream's response decides.
+// handleProbe sends a claim or a denial to the prober of a flow. If it is unknown whether the
+// upstream holds the flow, it says so, or it delivers the packet if the prober wants the
+// upstream's response to decide.
 func (c *Core) handleProbe(now instant.Instant, from flow.IP, p flow.Packet, m *message.Carried) {
 	f := c.flows.Get(p.Flow)
 	if c.state == message.State_StateGone || f != nil && f.OpenedElsewhere(p) {
@@ -87,11 +88,22 @@
 		c.handleAsOwner(now, p, m)
 	case f == nil && (c.knowsAllFlows(now) || c.isDisowned(p.Flow)):
 		c.sendDenial(now, from, p.Flow, m.MembersDigest)
-	case !m.KnownOnly:
+	case m.KnownOnly:
+		c.sendUnsure(now, from, p.Flow)
+	default:
 		c.deliverFlowPacket(now, p, m, from)
 	}
 }
 
+// sendUnsure tells a prober that only the upstream can say whether it holds the flow.
+func (c *Core) sendUnsure(now instant.Instant, prober flow.IP, id flow.ID) {
+	if prober == c.Self {
+		c.handleUnsure(now, c.Self, id)
+		return
+	}
+	c.Send(prober, &message.Envelope{Body: &message.Envelope_Unsure{Unsure: &message.Unsure{Flow: message.FlowOf(id)}}})
+}
+
 // knowsAllFlows reports whether the table contains all flows of the upstream: the upstream
 // started after this process, or this process is older than any flow.
 func (c *Core) knowsAllFlows(now instant.Instant) bool {
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -76,6 +76,9 @@
 	// probeRetryInterval is the delay before agents that have not answered a probe are
 	// probed again: longer than the round trip between data centres.
 	probeRetryInterval = 100 * time.Millisecond
+	// askTimeout is how long a search waits for agents that have not said whether they know
+	// the flow before it delivers packets to their upstreams: several round trips.
+	askTimeout = 30 * time.Millisecond
 	// maxProbeRetries limits the probe retries for one packet of the caller, which
 	// retransmits within 1.6 s.
 	maxProbeRetries = 5
@@ -282,6 +285,8 @@
 		c.handleClaim(now, from, b.Claim.GetFlow().ID())
 	case *message.Envelope_Denial:
 		c.handleDenial(now, from, b.Denial)
+	case *message.Envelope_Unsure:
+		c.handleUnsure(now, from, b.Unsure.GetFlow().ID())
 	case *message.Envelope_Report:
 		c.handleReport(now, from, b.Report)
 	}
--- a/internal/standin/relay/random_test.go
+++ b/internal/standin/relay/random_test.go
@@ -227,6 +227,7 @@
 	31:  "the same",
 	166: "the same",
 	213: "the same",
+	282: "searches delivered packets to upstreams although the agent of the flow's own knew it",
 	11:  "a search in the named service waited for agents that restarted, while the upstream of the former one got nothing",
 }
 
