Keep flows that have carried no request in the agents' tables

Cause: a table dropped a flow 3 s after its last packet unless the upstream had sent a packet beyond the answer to the first one, although the caller's acknowledgement had opened the flow. An agent that knows all flows of its upstream takes the absence of a flow from its table as proof and denies it; all denials together reset it.

Change: accepted flows are kept as long as open ones. A flow whose acceptance the caller has acknowledged counts as held: its owner claims it at new homes, and it is reset when the upstream leaves. What did not change: a bounced packet resets only flows on which the upstream has sent a packet.

--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -43,11 +43,12 @@
 
 // Timeouts, defaults and limits of the table.
 const (
-	// OpenIdleTimeout is how long an open flow without packets is kept: as long as a flow may
-	// stay open, so that a flow that is not in the table is not open.
+	// OpenIdleTimeout is how long an accepted or open flow without packets is kept: as long as
+	// a flow may stay open, so that a flow that is not in the table is not open. An accepted
+	// flow may be open already, and callers may send their first request much later.
 	OpenIdleTimeout = flow.DefaultLifetime
-	// OpeningIdleTimeout is how long a flow that has not opened is kept: longer than
-	// callers try to open one.
+	// OpeningIdleTimeout is how long a flow that the upstream has not accepted is kept: longer
+	// than callers try to open one.
 	OpeningIdleTimeout = 3 * time.Second
 	// endedIdleTimeout is how long a flow that both ends have finished is kept.
 	endedIdleTimeout = time.Second
@@ -111,8 +112,10 @@
 	Prober       flow.IP
 	ProberDigest uint64
 
-	upstreamSeq              uint32
-	hasUpstreamSeq           bool
+	upstreamSeq    uint32
+	hasUpstreamSeq bool
+	// acknowledged is set if the caller has acknowledged upstreamSeq, which opens the flow.
+	acknowledged             bool
 	busy, awaitsFirstRequest bool
 	// requestedAt is when the request in progress began; hadFreeSlot is set if a slot was
 	// free then.
@@ -304,9 +307,16 @@
 	return f.Phase < Open && f.hasUpstreamSeq && p.Flags.Has(flow.Ack) && p.AckSeq-f.upstreamSeq > sequenceWindow
 }
 
+// IsHeld reports whether the flow has opened at the upstream: the upstream has sent a packet on
+// the open flow, or the caller has acknowledged that it accepted the flow.
+func (f *Flow) IsHeld() bool { return f.Phase == Open || f.acknowledged }
+
 // RecordCallerPacket records the delivery of a caller's packet other than the first.
 func (t *Table) RecordCallerPacket(now instant.Instant, p flow.Packet) *Flow {
 	f := t.getOrCreate(now, p.Flow, Unconfirmed)
+	if f.Phase == Accepted && f.hasUpstreamSeq && p.Flags.Has(flow.Ack) {
+		f.acknowledged = !f.OpenedElsewhere(p)
+	}
 	f.LastAck = p.AckSeq
 	if f.recordNewData(p) && !f.busy && t.flows[f.ID] == f && f.Phase >= Accepted {
 		f.Requests++
@@ -365,7 +375,7 @@
 		switch {
 		case f.upstreamFinished && f.callerFinished:
 			idleTimeout = endedIdleTimeout
-		case f.Phase < Open:
+		case f.Phase < Accepted:
 			idleTimeout = OpeningIdleTimeout
 		}
 		if now.Sub(f.LastUsed) > idleTimeout {
--- a/internal/relay/flowtable/flowtable_test.go
+++ b/internal/relay/flowtable/flowtable_test.go
@@ -28,6 +28,38 @@
 	return t
 }
 
+// TestOpenFlowsStayInTheTable guards against the denial of a flow that its upstream holds: it
+// is open as soon as the caller has acknowledged the upstream's answer to the first packet, and
+// may carry no packet for long after that.
+func TestOpenFlowsStayInTheTable(t *testing.T) {
+	tests := []struct {
+		name string
+		ack  uint32
+		held bool
+	}{
+		{"Acknowledged", synAck.Seq + 1, true},
+		{"OpenedAtAnotherUpstream", synAck.Seq + 1<<30, false},
+		// The acknowledgement may have been lost, so that the next packet opens the flow.
+		{"NotAcknowledged", 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := New()
+			table.RecordFirstPacket(1, syn)
+			table.RecordUpstreamPacket(2, synAck)
+			if test.ack != 0 {
+				table.RecordCallerPacket(3, flow.Packet{Flow: id, Flags: flow.Ack, Seq: 1, AckSeq: test.ack})
+			}
+			table.Expire(instant.Instant(OpenIdleTimeout))
+			f := table.Get(id)
+			qt.Assert(t, f, qt.IsNotNil)
+			qt.Assert(t, f.IsHeld(), qt.Equals, test.held)
+			table.Expire(instant.Instant(OpenIdleTimeout).Add(time.Second))
+			qt.Assert(t, table.Get(id), qt.IsNil)
+		})
+	}
+}
+
 func TestInSystemCounts(t *testing.T) {
 	ms := func(n int) instant.Instant { return instant.Instant(time.Duration(n) * time.Millisecond) }
 	tests := []struct {
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -75,7 +75,7 @@
 	}
 	remaining := maxClaimsPerTick
 	c.flows.All(func(f *flowtable.Flow) {
-		if remaining == 0 || f.Phase != flowtable.Open {
+		if remaining == 0 || !f.IsHeld() {
 			return
 		}
 		home, ok := c.Members.Home(now, c.Service, f.DataCentre, f.ID.Hash())
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -72,7 +72,7 @@
 // resetAllFlows resets the open flows of an upstream that has left and deletes all flows.
 func (c *Core) resetAllFlows(now instant.Instant, reason string) {
 	c.flows.All(func(f *flowtable.Flow) {
-		if f.Phase == flowtable.Open && f.LastAck != 0 {
+		if f.IsHeld() && f.LastAck != 0 {
 			c.sendHint(f.ID, f.Balancer, 0)
 			c.resetFlow(f.ID, f.LastAck, reason)
 		}
--- a/internal/standin/relay/caller.go
+++ b/internal/standin/relay/caller.go
@@ -30,6 +30,8 @@
 	// second of each caller.
 	Callers int
 	Rate    func(at time.Duration) float64
+	// Pause is the time between the opening of a flow and the first request on it.
+	Pause time.Duration
 	// Persistent callers send many requests over one flow.
 	Persistent       bool
 	Idempotent       bool
@@ -193,6 +195,20 @@
 	t.caller.w.routeFromCaller(t.caller.dc, t.id, h.packet(dataLen))
 }
 
+// sendFirstRequest sends the first request on a flow after the pause of its kind.
+func (t *callerFlow) sendFirstRequest() {
+	if t.caller.kind.Pause == 0 {
+		t.sendRequest()
+		return
+	}
+	t.caller.w.after(t.caller.kind.Pause, func() {
+		if !t.closed {
+			t.firstAttemptAt = t.caller.w.now
+			t.sendRequest()
+		}
+	})
+}
+
 // sendRequest sends a request and retransmits it until an answer or the deadline.
 func (t *callerFlow) sendRequest() {
 	kinds := uint32(len(t.caller.w.Callers))
@@ -228,7 +244,7 @@
 	case h.Flags.Has(flow.Syn) && !t.opened:
 		t.opened, t.ack = true, h.Seq+1
 		t.sendPacket(header{Flags: flow.Ack, Seq: t.seq + 1, Ack: t.ack}, 0)
-		t.sendRequest()
+		t.sendFirstRequest()
 	case len(b) == headerLen+answerLen && h.Request == t.request && t.awaitingAnswer:
 		t.finishRequest("Answered", t.caller.w.now.Sub(t.firstAttemptAt))
 	case len(b) == headerLen+shedAnswerLen && h.Request == t.request && t.awaitingAnswer:
