Believe the upstream that runs, also after the time of day jumped back

Cause: a heartbeat with a lower start time than the last one counted as late for as long as the agent runs. A target that starts after the time of day has jumped back has such a start time. Its heartbeats were ignored, and acknowledged all the same.

Change: an upstream that started later replaces the known one at once, as before. Any other one, also one that has been replaced, does so when it goes on to send heartbeats for half an interval while the known one sends none; a late heartbeat is not followed by others. Ruled out: the order of the names and the sequence alone (an upstream may keep its name), and accepting every lower start at once (a late heartbeat would end flows).

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -37,7 +37,7 @@
 
 // Events holds the callbacks for an upstream's control calls. All fields are set.
 type Events struct {
-	Heartbeat  func(h serving.Heartbeat)
+	Heartbeat  func(h serving.Heartbeat) (accepted bool)
 	Leave      func(upstream string)
 	Unreadable func(upstream string, err error)
 }
@@ -123,8 +123,9 @@
 
 func (a *Agent) events() Events {
 	return Events{
-		Heartbeat: func(h serving.Heartbeat) {
-			a.update(func(c *serving.Core) { c.HandleHeartbeat(a.Now(), h) })
+		Heartbeat: func(h serving.Heartbeat) (accepted bool) {
+			a.update(func(c *serving.Core) { accepted = c.HandleHeartbeat(a.Now(), h) })
+			return accepted
 		},
 		Leave: func(upstream string) {
 			a.update(func(c *serving.Core) { c.HandleLeave(a.Now(), upstream) })
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -165,6 +165,10 @@
 type upstreamState struct {
 	Heartbeat
 	hasHeartbeat bool
+	// predecessors holds the incarnations that were replaced, the latest last. candidate is
+	// one that may replace the known one, empty if there is none.
+	predecessors []incarnation
+	candidate    candidate
 	// lastHeard is when the upstream last sent a packet or a heartbeat; lastHeartbeat
 	// is when it last sent a heartbeat.
 	lastHeard, lastHeartbeat instant.Instant
@@ -174,7 +178,7 @@
 	openingPendingSince, dataPendingSince instant.Instant
 	openingPending, dataPending           bool
 	coldUntil                             instant.Instant
-	// startedLater is set if the upstream started after this process.
+	// startedLater is set if the upstream certainly started after this process.
 	startedLater bool
 	hasLeft      bool
 	// leftBefore is set if the store says that it left during the previous process. Another
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -264,6 +264,45 @@
 	}
 }
 
+// TestOnlyTheRunningUpstreamIsBelieved guards against heartbeats of an upstream that are ignored
+// because it started after the time of day had jumped back, and against late ones of earlier
+// upstreams that are believed. What is ignored must not be acknowledged.
+func TestOnlyTheRunningUpstreamIsBelieved(t *testing.T) {
+	type beat struct {
+		at       time.Duration
+		upstream string
+		born     int64
+		sequence int64
+		accepted bool
+	}
+	const first, next = 10_000, 12_000
+	tests := []struct {
+		name  string
+		beats []beat
+	}{
+		{"Replaced", []beat{{0, "a", first, 7, true}, {2000, "b", next, 1, true}, {3200, "b", next, 2, true}}},
+		{"SameNameReplaced", []beat{{0, "a", first, 7, true}, {2000, "a", next, 1, true}, {3200, "a", next, 2, true}}},
+		{"LateOfTheSame", []beat{{0, "a", first, 7, true}, {10, "a", first, 6, false}, {1200, "a", first, 8, true}}},
+		{"LateOfThePredecessor", []beat{{0, "a", first, 7, true}, {2000, "b", next, 1, true}, {2100, "a", first, 8, false}, {3200, "b", next, 2, true}}},
+		{"SeveralLateAtOnce", []beat{{0, "b", next, 1, true}, {100, "a", first, 8, false}, {110, "a", first, 9, false}, {1200, "b", next, 2, true}}},
+		{"SeveralLateBesideTheRunning", []beat{{0, "b", next, 1, true}, {100, "a", first, 8, false}, {1200, "b", next, 2, true}, {1300, "a", first, 9, false}, {2400, "b", next, 3, true}}},
+		{"ClockJumpedBack", []beat{{0, "a", next, 7, true}, {2000, "b", first, 1, false}, {3200, "b", first, 2, true}, {4400, "b", first, 3, true}}},
+		{"ClockJumpedBackSameName", []beat{{0, "a", next, 7, true}, {2000, "a", first, 1, false}, {3200, "a", first, 2, true}}},
+		{"ClockJumpedBackAndRetries", []beat{{0, "a", next, 7, true}, {2000, "b", first, 1, false}, {2010, "b", first, 2, false}, {3200, "b", first, 3, true}}},
+		{"LateWithALaterStart", []beat{{0, "b", first, 3, true}, {100, "a", next, 9, true}, {1200, "b", first, 4, false}, {2400, "b", first, 5, true}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: firstPacketCodec(0), HeartbeatEvery: 1200 * time.Millisecond})
+			start := instant.Instant(time.Minute)
+			for _, b := range test.beats {
+				h := serving.Heartbeat{Upstream: b.upstream, Service: "padron", Born: b.born, Sequence: b.sequence, Slots: 4}
+				qt.Check(t, c.HandleHeartbeat(start.Add(b.at*time.Millisecond), h), qt.Equals, b.accepted, qt.Commentf("%v", b))
+			}
+		})
+	}
+}
+
 // TestAbsenceBeforeRestoreIsNotBelieved guards against searches that pass over an agent whose
 // upstream has started since the copy from which the store was restored, or since the
 // earlier process wrote that it had left. Only one that refuses connections is gone; one
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -17,32 +17,39 @@
 	}
 }
 
-// HandleHeartbeat processes a heartbeat of the upstream and reports whether it was accepted:
-// it belongs to this service and is newer than the last one.
+// HandleHeartbeat processes a heartbeat of the upstream and reports whether it was accepted: it
+// belongs to this service, and its sender is the upstream that runs. Only an accepted heartbeat
+// may be acknowledged.
 func (c *Core) HandleHeartbeat(now instant.Instant, h Heartbeat) bool {
 	if h.Service != c.Service {
 		c.LogStateChange("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service)
 		return false
 	}
 	old := c.upstream.Heartbeat
-	if c.upstream.hasHeartbeat && (h.Born < old.Born || h.Born == old.Born && h.Sequence <= old.Sequence) {
-		c.LogNotable("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "KnownBorn", old.Born, "KnownSequence", old.Sequence)
+	if !c.isCurrent(now, h) {
+		c.LogNotable("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "Known", old.Upstream, "KnownBorn", old.Born, "KnownSequence", old.Sequence)
 		return false
 	}
-	replaced := c.upstream.hasHeartbeat && h.Born > old.Born
-	if replaced || c.startedAfterAgent(h) {
+	replaced := c.upstream.hasHeartbeat && h.incarnation() != old.incarnation()
+	succeeds := replaced && h.Born > old.Born
+	if succeeds || (replaced || !c.upstream.hasHeartbeat) && c.startedAfterAgent(h) {
 		c.upstream.startedLater = true
+	} else if replaced {
+		c.upstream.startedLater = false
 	}
 	if replaced {
+		c.upstream.recordPredecessor(old.incarnation())
+	}
+	if succeeds {
 		c.resetReplacedFlows()
 	}
 	c.upstream.Heartbeat, c.upstream.hasHeartbeat = h, true
 	c.flows.SetSlots(c.slots())
-	c.upstream.lastHeartbeat = now
+	c.upstream.lastHeartbeat, c.upstream.candidate = now, candidate{}
 	c.upstream.hasLeft, c.upstream.resetFlowsAt = false, 0
 	c.upstream.coldUntil = now.Add(h.ColdFor)
 	if replaced {
-		c.LogStateChange("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Before", old.Upstream, "BornBefore", old.Born)
+		c.LogStateChange("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "Before", old.Upstream, "BornBefore", old.Born)
 		c.redeliverRequests(old.Born)
 	}
 	c.recordUpstreamAlive(now)
@@ -51,11 +58,10 @@
 	return true
 }
 
-// startedAfterAgent reports whether the first heartbeat heard shows that its upstream
-// started after this process, by its start time and by its low sequence, since clocks
-// may jump.
+// startedAfterAgent reports whether the first heartbeat heard of an upstream shows that it
+// started after this process, by its start time and by its low sequence, since clocks may jump.
 func (c *Core) startedAfterAgent(h Heartbeat) bool {
-	return !c.upstream.hasHeartbeat && h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds()
+	return h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds()
 }
 
 // redeliverRequests redelivers the caller's last packet of each request in progress on a
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -212,6 +212,35 @@
 	qt.Assert(t, w.Violations, qt.HasLen, 0)
 }
 
+// TestUpstreamDrainsAfterItsClockJumpedBack guards against new flows at a draining upstream: it
+// has started with a lower start time than its predecessor, since the time of day had jumped
+// ahead before and back again.
+func TestUpstreamDrainsAfterItsClockJumpedBack(t *testing.T) {
+	const drains = 9 * time.Second
+	w := New(Registro(9))
+	a := w.Agents[0]
+	restart := func(ahead time.Duration) func() {
+		return func() {
+			a.Upstream.Crash()
+			a.Upstream.ClockAhead = ahead
+			a.Upstream.Start()
+		}
+	}
+	// Callers start later, so that no packet is lost that would make the upstream look silent.
+	w.At(100*time.Millisecond, restart(2400*time.Millisecond))
+	w.At(800*time.Millisecond, restart(0))
+	w.At(drains, func() { a.Upstream.Drain(7 * time.Second) })
+	var before, offered int
+	w.At(drains-time.Second, func() { before = a.Upstream.SynsReceived })
+	w.At(drains+3*time.Second, func() {
+		offered = a.Upstream.SynsReceived
+		qt.Check(t, offered > before, qt.IsTrue, qt.Commentf("it got flows before it drained"))
+	})
+	w.Run(drains + 6*time.Second)
+	qt.Check(t, a.Upstream.SynsReceived, qt.Equals, offered)
+	qt.Assert(t, w.Violations, qt.HasLen, 0)
+}
+
 func TestLateHeartbeatAfterRestartEndsNoFlow(t *testing.T) {
 	w := New(Registro(10))
 	a := w.Agents[0]
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -41,9 +41,12 @@
 	// Dark makes connection attempts to a stopped upstream time out instead of being refused.
 	Dark bool
 	// bouncesPackets is set while the instance is up but its upstream is down.
-	bouncesPackets    bool
-	draining          bool
-	startedAt         instant.Instant
+	bouncesPackets bool
+	draining       bool
+	startedAt      instant.Instant
+	// ClockAhead is how far the time of day of the instance is ahead when the upstream starts.
+	ClockAhead        time.Duration
+	born              int64
 	heartbeatSequence int64
 	starts            int
 	busySlots         int
@@ -68,6 +71,7 @@
 func (u *Upstream) Start() {
 	u.starts++
 	u.alive, u.bouncesPackets, u.draining, u.startedAt, u.heartbeatSequence = true, false, false, u.w.now, 0
+	u.born = (u.w.Now() + u.ClockAhead).Milliseconds()
 	u.flows, u.busySlots, u.queued = make(map[flow.ID]*upstreamFlow), 0, nil
 	start := u.starts
 	u.w.after(firstHeartbeatDelay, func() { u.heartbeatLoop(start) })
@@ -117,7 +121,7 @@
 func (u *Upstream) heartbeat() {
 	u.heartbeatSequence++
 	h := serving.Heartbeat{
-		Upstream: u.name(), Service: u.Name, Born: time.Duration(u.startedAt).Milliseconds(), Sequence: u.heartbeatSequence, Draining: u.draining, Slots: u.Slots,
+		Upstream: u.name(), Service: u.Name, Born: u.born, Sequence: u.heartbeatSequence, Draining: u.draining, Slots: u.Slots,
 		ColdFor: max(0, warmUpTime-u.w.now.Sub(u.startedAt)),
 	}
 	u.w.dispatch(u.p, func() {
