Take no late first heartbeat for that of a replaced upstream

Cause: the next heartbeat, of the target that runs, has a later start, which counted as a replacement that this process has seen. The agent then took its table for complete and denied flows that had opened before it started, and it reset flows that it took for those of the crashed target.

Change: an upstream counts as started after the agent only if its first heartbeat heard shows that, or if it succeeds one that did; flows of a replaced upstream are reset only if the next one has just started. All others are reset when a packet of theirs bounces.

Test: TestLateFirstHeartbeatProvesNothing fails before (denial) and passes now.

--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -303,6 +303,37 @@
 	}
 }
 
+// TestLateFirstHeartbeatProvesNothing guards against the denial and the reset of flows after a
+// restarted agent has first heard a late heartbeat of a crashed upstream: the one that runs has
+// not replaced it since the agent started.
+func TestLateFirstHeartbeatProvesNothing(t *testing.T) {
+	codec := firstPacketCodec(0)
+	codec.DecodeFromCaller = func([]byte) (flow.Packet, bool) {
+		return flow.Packet{Flow: id, Flags: flow.Ack, Seq: 1, AckSeq: 1001, Len: 100}, true
+	}
+	other := flow.ID{Caller: flow.Endpoint{IP: 1, Port: 1026}, Address: id.Address}
+	codec.DecodeFromUpstream = func([]byte) (flow.Packet, bool) {
+		return flow.Packet{Flow: other, Flags: flow.Ack, Seq: 1001, AckSeq: 101, Len: 100}, true
+	}
+	now := instant.Instant(time.Minute)
+	c := serving.New(serving.Config{
+		Self: 7, Service: "padron", DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime, Started: now, StartedMillis: 60_000,
+	})
+	c.HandleUpstreamPacket(now, []byte{1})
+	now = now.Add(2 * time.Second)
+	qt.Assert(t, c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "crashed", Service: "padron", Born: 1000, Sequence: 9, Slots: 4}), qt.IsTrue)
+	c.TakeOutput()
+	qt.Assert(t, c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "running", Service: "padron", Born: 20_000, Sequence: 33, Slots: 4}), qt.IsTrue)
+	qt.Check(t, countResets(c), qt.Equals, 0)
+	c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
+		Packet: []byte{1}, Step: message.Step_StepProbe, Service: "padron", DataCentre: "a", Balancer: 6,
+	}}})
+	actions, _ := c.TakeOutput()
+	for _, a := range actions {
+		qt.Check(t, a.Message.GetDenial(), qt.IsNil)
+	}
+}
+
 // TestAbsenceBeforeRestoreIsNotBelieved guards against searches that pass over an agent whose
 // upstream has started since the copy from which the store was restored, or since the
 // earlier process wrote that it had left. Only one that refuses connections is gone; one
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -32,15 +32,15 @@
 	}
 	replaced := c.upstream.hasHeartbeat && h.incarnation() != old.incarnation()
 	succeeds := replaced && h.Born > old.Born
-	if succeeds || (replaced || !c.upstream.hasHeartbeat) && c.startedAfterAgent(h) {
-		c.upstream.startedLater = true
-	} else if replaced {
-		c.upstream.startedLater = false
+	if replaced || !c.upstream.hasHeartbeat {
+		c.upstream.startedLater = c.upstream.startedLater && succeeds || c.startedAfterAgent(h)
 	}
 	if replaced {
 		c.upstream.recordPredecessor(old.incarnation())
 	}
-	if succeeds {
+	if succeeds && h.Sequence <= maxStartSequence {
+		// One that has run for longer may hold flows that this process takes for those of the
+		// known one, whose last heartbeat may have been late.
 		c.resetReplacedFlows()
 	}
 	c.upstream.Heartbeat, c.upstream.hasHeartbeat = h, true
