Deliver the packets of a search to one upstream after the other

Cause: a search delivered to all upstreams at once whose agents were unsure. Those after the flow's own began a new period in which only others got packets, and the next search could end it with three. An asked home of another service delivered before the asking one had finished. An acknowledgement, which callers do not repeat, went astray alone when the agent of the flow's own upstream was down.

Change: packets are delivered to a few upstreams at a time, the near ones first, and to the next ones after these have denied the flow. Homes of other services answer the asking one with the owner, which it keeps, or that nobody knows the flow, and deliver only when it asks for that; each second packet goes to the second home. Acknowledgements are not delivered on trial.

Conclusion: own upstreams get the last packet of a search, not one in between.

--- a/internal/relay/lookup/lookup.go
+++ b/internal/relay/lookup/lookup.go
@@ -3,7 +3,7 @@
 //
 // A home that does not know a flow's owner probes all agents of the service at once. It
 // first asks what they know of the flow. Only if none knows it does it have the packet
-// delivered to the upstreams whose agents are unsure. A search ends with a claim, or once every agent of the service has denied the flow,
+// delivered to the upstreams whose agents are unsure, a few at a time. A search ends with a claim, or once every agent of the service has denied the flow,
 // which proves that no upstream holds it. A denial stays valid, since an open flow
 // never moves to another upstream. An agent that does not respond keeps the search
 // open. It is probed again a few times, since some of the many probes and responses
@@ -58,8 +58,13 @@
 type Search struct {
 	// StartedAt is when the search began; ProbedAt is when agents were last probed.
 	StartedAt, ProbedAt, lastUsed instant.Instant
-	// denied, unsure and unlisted hold agents.
-	denied, unsure, unlisted map[flow.IP]bool
+	// denied, unsure, delivered and unlisted hold agents.
+	denied, unsure, delivered, unlisted map[flow.IP]bool
+	// elsewhere holds the other services in which the flow is searched, and whether one of
+	// their homes has answered.
+	elsewhere map[string]bool
+	// Rounds counts the rounds of probes that packets of the caller have started.
+	Rounds int
 	// Asking is set while agents are asked what they know of the flow and no packet is
 	// delivered to upstreams that may not hold it.
 	Asking bool
@@ -95,6 +100,56 @@
 // Answered reports whether an agent has denied the flow or does not know it.
 func (s *Search) Answered(agent flow.IP) bool { return s.denied[agent] || s.unsure[agent] }
 
+// AddDelivery records that an agent is to deliver packets of the flow although it does not know
+// it, so that its upstream decides.
+func (s *Search) AddDelivery(agent flow.IP) { s.delivered[agent] = true }
+
+// Delivered reports whether AddDelivery was called for an agent.
+func (s *Search) Delivered(agent flow.IP) bool { return s.delivered[agent] }
+
+// NeedsDelivery reports whether only the upstream of an agent can say whether it holds the flow,
+// and has not been asked.
+func (s *Search) NeedsDelivery(agent flow.IP) bool {
+	return s.unsure[agent] && !s.denied[agent] && !s.delivered[agent]
+}
+
+// DeliveryPending reports whether an upstream to which packets were delivered has not answered.
+func (s *Search) DeliveryPending() bool {
+	for a := range s.delivered {
+		if !s.denied[a] {
+			return true
+		}
+	}
+	return false
+}
+
+// AddElsewhere records that the flow is searched in another service too.
+func (s *Search) AddElsewhere(service string) {
+	if s.elsewhere == nil {
+		s.elsewhere = make(map[string]bool)
+	}
+	if _, ok := s.elsewhere[service]; !ok {
+		s.elsewhere[service] = false
+	}
+}
+
+// AnswerElsewhere records that no agent of another service knows the flow.
+func (s *Search) AnswerElsewhere(service string) {
+	if _, ok := s.elsewhere[service]; ok {
+		s.elsewhere[service] = true
+	}
+}
+
+// AnsweredElsewhere reports whether all other services have answered.
+func (s *Search) AnsweredElsewhere() bool {
+	for _, answered := range s.elsewhere {
+		if !answered {
+			return false
+		}
+	}
+	return true
+}
+
 // AddUnlisted adds an agent that is listed in a denial but missing from the local
 // membership table. Its denial is then required too.
 func (s *Search) AddUnlisted(agent flow.IP) {
@@ -171,7 +226,7 @@
 		if len(t.searches) >= MaxSearches {
 			return nil
 		}
-		s = &Search{StartedAt: now, Asking: true, denied: make(map[flow.IP]bool), unsure: make(map[flow.IP]bool)}
+		s = &Search{StartedAt: now, Asking: true, denied: make(map[flow.IP]bool), unsure: make(map[flow.IP]bool), delivered: make(map[flow.IP]bool)}
 		t.searches[id] = s
 	}
 	s.lastUsed = now
--- a/internal/relay/serving/home.go
+++ b/internal/relay/serving/home.go
@@ -1,6 +1,8 @@
 package serving
 
 import (
+	"slices"
+
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
@@ -17,25 +19,49 @@
 		return
 	}
 	if f := c.flows.Get(p.Flow); f != nil && f.Phase >= flowtable.Accepted && !f.OpenedElsewhere(p) {
+		c.claimFor(flow.IP(m.Asker), c.Self, p.Flow)
 		c.handleAsOwner(now, p, m)
 		return
 	}
 	owner, ok := c.owners.Owner(now, p.Flow)
-	if ok && c.mayHoldFlows(now, owner) && c.owners.ActiveSearch(p.Flow) == nil {
-		c.sendPacket(now, owner, m, message.Step_StepOwner)
+	if ok && c.mayHoldFlows(now, owner, m) && c.owners.ActiveSearch(p.Flow) == nil {
+		c.claimFor(flow.IP(m.Asker), owner, p.Flow)
+		c.sendToOwner(now, owner, m)
 		return
 	}
 	c.searchOwner(now, p, m)
 }
 
-// mayHoldFlows reports whether an agent belongs to this service and its upstream has
-// not left.
-func (c *Core) mayHoldFlows(now instant.Instant, a flow.IP) bool {
+// mayHoldFlows reports whether an agent may own the flow of a packet: it belongs to this
+// service, or to another one of the route, and its upstream has not left.
+func (c *Core) mayHoldFlows(now instant.Instant, a flow.IP, m *message.Carried) bool {
 	if a == c.Self {
 		return true
 	}
 	r := c.Members.Member(a)
-	return r != nil && r.Service == c.Service && !r.HasLeft(now)
+	return r != nil && (r.Service == c.Service || slices.Contains(m.Others, r.Service)) && !r.HasLeft(now)
+}
+
+// sendToOwner sends a packet to the owner of its flow, which may belong to another service of
+// the route.
+func (c *Core) sendToOwner(now instant.Instant, owner flow.IP, m *message.Carried) {
+	r := c.Members.Member(owner)
+	if owner == c.Self || r == nil || r.Service == c.Service {
+		c.sendPacket(now, owner, m, message.Step_StepOwner)
+		return
+	}
+	others := append(slices.DeleteFunc(slices.Clone(m.Others), func(s string) bool { return s == r.Service }), c.Service)
+	c.sendPacket(now, owner, &message.Carried{
+		Packet: m.Packet, Service: r.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true,
+		TimeoutMillis: m.TimeoutMillis, Others: others, Unnamed: m.Unnamed, OthersIncomplete: m.OthersIncomplete,
+	}, message.Step_StepOwner)
+}
+
+// claimFor tells a home in another service, if there is one, who owns a flow that it searches.
+func (c *Core) claimFor(asker, owner flow.IP, id flow.ID) {
+	if asker != 0 {
+		c.Send(asker, &message.Envelope{Body: &message.Envelope_Claim{Claim: &message.Claim{Flow: message.FlowOf(id), Owner: uint32(owner)}}})
+	}
 }
 
 // searchOwner probes all agents of the service that have not denied the flow, and passes the
@@ -49,8 +75,15 @@
 		return
 	}
 	s.LastAck, s.Retries = p.AckSeq, 0
-	if s.ProbedAt != 0 && now.Sub(s.ProbedAt) < probeRetryInterval {
-		if s.LastPacket.GetOthersIncomplete() && !m.OthersIncomplete {
+	if p.Len == 0 && !p.Flags.Has(flow.Fin) {
+		// The caller does not repeat an acknowledgement, so that it could reach other upstreams
+		// only. The search goes on with a packet that it repeats.
+		m.KnownOnly = true
+	}
+	mayDeliver := s.LastPacket.GetKnownOnly() && !m.KnownOnly
+	keepsPacket := s.LastPacket != nil && !s.LastPacket.KnownOnly && m.KnownOnly
+	if keepsPacket || s.ProbedAt != 0 && now.Sub(s.ProbedAt) < probeRetryInterval && !mayDeliver {
+		if !keepsPacket && s.LastPacket.GetOthersIncomplete() && !m.OthersIncomplete {
 			// Only this packet names all services that have to deny the flow.
 			s.LastPacket = m
 		}
@@ -62,78 +95,132 @@
 		c.LogNotable("OwnerSearched", "Flow", p.Flow, "Members", len(c.Members.Agents(c.Service)), "Settled", c.Members.IsSettled(now))
 	}
 	s.ProbedAt = now
-	c.deliverElsewhere(now, p, m)
+	c.deliverElsewhere(now, p.Flow, s, m)
+	s.Rounds++
+	if asker := flow.IP(m.Asker); asker != 0 && !s.Asking {
+		c.sendUnsure(now, asker, p.Flow)
+	}
 	c.probeAgents(now, s, m)
-	c.finishAsking(now, p.Flow, s)
-	c.finishIfDenied(now, p.Flow, s)
+	c.advanceSearch(now, p.Flow, s)
+}
+
+// advanceSearch does what the answers to a search allow. It does nothing if the search has
+// ended.
+func (c *Core) advanceSearch(now instant.Instant, id flow.ID, s *lookup.Search) {
+	c.finishAsking(now, id, s)
+	c.deliverNext(now, id, s)
+	c.finishIfDenied(now, id, s)
 }
 
-// finishAsking has the packet of a search delivered to the upstreams whose agents are unsure,
-// once no agent is left that could know the owner. It waits for askTimeout if an agent does
-// not answer, or if the owner is also searched in other services and may be found there.
+// finishAsking ends the first part of a search once no agent is left that could know the
+// owner, nor one of another service of the route.
 func (c *Core) finishAsking(now instant.Instant, id flow.ID, s *lookup.Search) {
 	if !s.Asking || c.owners.ActiveSearch(id) != s {
 		return
 	}
-	if now.Sub(s.ProbedAt) < askTimeout && (len(s.LastPacket.GetOthers()) > 0 || !c.allAnswered(now, s)) {
+	if now.Sub(s.StartedAt) < askTimeout && !(s.AnsweredElsewhere() && c.allAnswered(now, s)) {
 		return
 	}
-	s.Asking, s.ProbedAt = false, now
-	c.probeAgents(now, s, s.LastPacket)
+	s.Asking = false
+	if asker := flow.IP(s.LastPacket.GetAsker()); asker != 0 {
+		c.sendUnsure(now, asker, id)
+	}
 }
 
-// allAnswered reports whether all agents of the service have answered a search.
-func (c *Core) allAnswered(now instant.Instant, s *lookup.Search) bool {
+// deliverNext has the packet of a search delivered to the next upstreams whose agents are
+// unsure, the near ones first. It waits for the answers of the last ones: an upstream that does
+// not hold the flow answers at once, and none has to get a packet after the one that does.
+func (c *Core) deliverNext(now instant.Instant, id flow.ID, s *lookup.Search) {
+	if s.Asking || s.LastPacket.GetKnownOnly() || c.owners.ActiveSearch(id) != s || s.DeliveryPending() && now.Sub(s.ProbedAt) < deliveryTimeout {
+		return
+	}
+	agents := c.searchedAgents(now, s)
+	next := slices.DeleteFunc(slices.Clone(agents), func(a flow.IP) bool { return !s.NeedsDelivery(a) })
+	if len(next) == 0 {
+		return
+	}
+	isFar := func(a flow.IP) int {
+		if r := c.Members.Member(a); a != c.Self && (r == nil || r.DataCentre != s.LastPacket.DataCentre) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(next, func(a, b flow.IP) int { return isFar(a) - isFar(b) })
+	s.ProbedAt = now
+	for _, a := range next[:min(len(next), max(1, len(agents)/maxDeliveries))] {
+		s.AddDelivery(a)
+		c.probe(now, a, s, s.LastPacket)
+	}
+}
+
+// searchedAgents lists the agents that may hold the flow of a search, this one first.
+func (c *Core) searchedAgents(now instant.Instant, s *lookup.Search) []flow.IP {
+	agents := []flow.IP{c.Self}
 	for _, r := range c.Members.Agents(c.Service) {
-		if r.ID() != c.Self && !r.HasLeft(now) && !s.Answered(r.ID()) {
-			return false
+		if r.ID() != c.Self && !r.HasLeft(now) {
+			agents = append(agents, r.ID())
 		}
 	}
-	for _, a := range s.UnlistedPending() {
-		if !s.Answered(a) {
+	return append(agents, s.UnlistedPending()...)
+}
+
+// allAnswered reports whether all agents of the service have answered a search, but for those
+// that were silent before.
+func (c *Core) allAnswered(now instant.Instant, s *lookup.Search) bool {
+	for _, a := range c.searchedAgents(now, s) {
+		silent := c.silentAgents[a]
+		if !s.Answered(a) && (silent == nil || now.Sub(silent.probedSince) < askTimeout) {
 			return false
 		}
 	}
-	return s.Answered(c.Self)
+	return true
 }
 
-// handleUnsure records that an agent does not know whether its upstream holds a flow.
+// handleUnsure records that an agent does not know whether its upstream holds a flow, or that a
+// home of another service has found no agent that knows the flow.
 func (c *Core) handleUnsure(now instant.Instant, from flow.IP, id flow.ID) {
-	if s := c.owners.ActiveSearch(id); s != nil {
+	s := c.owners.ActiveSearch(id)
+	if s == nil {
+		return
+	}
+	if r := c.Members.Member(from); r != nil && r.Service != c.Service {
+		s.AnswerElsewhere(r.Service)
+	} else {
 		s.AddUnsure(from)
-		c.finishAsking(now, id, s)
 	}
+	c.advanceSearch(now, id, s)
 }
 
 // deliverElsewhere passes a packet of a flow whose owner is searched here to the homes of the
 // other services that the route names or has named. Otherwise the flow would get no packets
-// while the search waits for an agent of this service that restarts. The homes do not reset
-// the flow: that takes the denials of all services, which the search collects in turn.
-func (c *Core) deliverElsewhere(now instant.Instant, p flow.Packet, m *message.Carried) {
+// while the search waits for an agent of this service that restarts. The homes answer with
+// the owner, or that no agent of theirs knows it; while this search asks, they do not deliver
+// the packet otherwise. They do not reset the flow: that takes the denials of all services,
+// which the search collects in turn. Each second packet goes to the second home, since the
+// first one may be restarting.
+func (c *Core) deliverElsewhere(now instant.Instant, id flow.ID, s *lookup.Search, m *message.Carried) {
 	for _, service := range m.Others {
-		if home, ok := c.Members.Home(now, service, m.DataCentre, p.Flow.Hash()); ok {
-			c.sendPacket(now, home, &message.Carried{
-				Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre, TimeoutMillis: m.TimeoutMillis, OthersIncomplete: true,
-			}, message.Step_StepHome)
+		home, ok := c.Members.Home(now, service, m.DataCentre, id.Hash())
+		if second, hasSecond := c.Members.SecondHome(now, service, m.DataCentre, id.Hash()); hasSecond && s.Rounds%2 == 1 {
+			home = second
 		}
+		if !ok {
+			continue
+		}
+		s.AddElsewhere(service)
+		c.sendPacket(now, home, &message.Carried{
+			Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre, TimeoutMillis: m.TimeoutMillis, OthersIncomplete: true, KnownOnly: s.Asking, Asker: uint32(c.Self),
+		}, message.Step_StepHome)
 	}
 }
 
 func (c *Core) probeAgents(now instant.Instant, s *lookup.Search, m *message.Carried) {
 	s.LastPacket = m
-	for _, r := range c.Members.Agents(c.Service) {
-		if r.ID() != c.Self && !r.HasLeft(now) && !s.Denied(r.ID()) && c.mayProbe(now, r.ID()) {
-			c.probe(now, r.ID(), s, m)
-		}
-	}
-	for _, a := range s.UnlistedPending() {
-		if c.mayProbe(now, a) {
+	for _, a := range c.searchedAgents(now, s) {
+		if !s.Denied(a) && (a == c.Self || c.mayProbe(now, a)) {
 			c.probe(now, a, s, m)
 		}
 	}
-	if !s.Denied(c.Self) {
-		c.probe(now, c.Self, s, m)
-	}
 }
 
 // retryProbes repeats the probes of searches whose responses are overdue.
@@ -142,27 +229,33 @@
 		if s.LastPacket == nil {
 			return
 		}
-		c.finishAsking(now, id, s)
+		c.advanceSearch(now, id, s)
 		if s.Retries >= maxProbeRetries || now.Sub(s.ProbedAt) < probeRetryInterval {
 			return
 		}
 		s.Retries++
 		s.ProbedAt = now
+		if s.Retries == 1 && !s.Asking {
+			c.deliverElsewhere(now, id, s, s.LastPacket)
+		}
 		c.probeAgents(now, s, s.LastPacket)
 		c.finishIfDenied(now, id, s)
 	})
 }
 
 // handleClaim records the owner of a flow and forwards the packets queued for it.
-func (c *Core) handleClaim(now instant.Instant, from flow.IP, id flow.ID) {
+func (c *Core) handleClaim(now instant.Instant, owner flow.IP, id flow.ID) {
 	c.Counts.Claims++
-	s := c.owners.SetOwner(now, id, from)
+	s := c.owners.SetOwner(now, id, owner)
 	if s == nil {
 		return
 	}
-	c.LogNotable("OwnerFound", "Flow", id, "Agent", from, "Took", now.Sub(s.StartedAt), "Denials", s.Denials())
+	c.LogNotable("OwnerFound", "Flow", id, "Agent", owner, "Took", now.Sub(s.StartedAt), "Denials", s.Denials())
+	c.claimFor(flow.IP(s.LastPacket.GetAsker()), owner, id)
 	for _, m := range s.TakePackets() {
-		c.sendPacket(now, from, m, message.Step_StepOwner)
+		if c.mayHoldFlows(now, owner, m) {
+			c.sendToOwner(now, owner, m)
+		}
 	}
 }
 
@@ -181,8 +274,7 @@
 		s.AddDenial(from)
 	}
 	c.probeUnlisted(now, s, d.GetMembers())
-	c.finishAsking(now, id, s)
-	c.finishIfDenied(now, id, s)
+	c.advanceSearch(now, id, s)
 }
 
 // probeUnlisted probes the agents that are listed in a denial but missing from the local
@@ -200,12 +292,13 @@
 	}
 }
 
-// probe sends a packet to an agent to find out whether its upstream holds the flow.
+// probe sends a packet to an agent to find out whether its upstream holds the flow. The agent
+// delivers it if it does not know only if the search has come to that.
 func (c *Core) probe(now instant.Instant, to flow.IP, s *lookup.Search, m *message.Carried) {
 	c.Counts.Probes++
 	c.sendPacket(now, to, &message.Carried{
 		Packet: m.Packet, Service: m.Service, Balancer: m.Balancer, DataCentre: m.DataCentre, ByHome: true, MembersDigest: c.Members.Digest(c.Service),
-		TimeoutMillis: m.TimeoutMillis, Others: m.Others, Unnamed: m.Unnamed, OthersIncomplete: m.OthersIncomplete, KnownOnly: m.KnownOnly || s.Asking,
+		TimeoutMillis: m.TimeoutMillis, Others: m.Others, Unnamed: m.Unnamed, OthersIncomplete: m.OthersIncomplete, KnownOnly: m.KnownOnly || !s.Delivered(to),
 	}, message.Step_StepProbe)
 }
 
@@ -270,8 +363,8 @@
 // handleReturn handles a packet returned by an agent that does not hold the flow: it
 // forwards the packet to the known owner or starts a search.
 func (c *Core) handleReturn(now instant.Instant, from flow.IP, p flow.Packet, m *message.Carried) {
-	if owner, ok := c.owners.Owner(now, p.Flow); ok && owner != from && c.mayHoldFlows(now, owner) && c.owners.ActiveSearch(p.Flow) == nil {
-		c.sendPacket(now, owner, m, message.Step_StepOwner)
+	if owner, ok := c.owners.Owner(now, p.Flow); ok && owner != from && c.mayHoldFlows(now, owner, m) && c.owners.ActiveSearch(p.Flow) == nil {
+		c.sendToOwner(now, owner, m)
 		return
 	}
 	c.owners.DeleteOwner(p.Flow)
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -76,9 +76,17 @@
 	// probeRetryInterval is the delay before agents that have not answered a probe are
 	// probed again: longer than the round trip between data centres.
 	probeRetryInterval = 100 * time.Millisecond
-	// askTimeout is how long a search waits for agents that have not said whether they know
-	// the flow before it delivers packets to their upstreams: several round trips.
-	askTimeout = 30 * time.Millisecond
+	// askTimeout is how long a search waits for an agent that may know the flow and does not
+	// answer before it delivers packets to upstreams that may not hold the flow: several round
+	// trips between data centres.
+	askTimeout = 100 * time.Millisecond
+	// deliveryTimeout is how long a search waits for the answers of the upstreams to which it
+	// has last delivered a packet: an upstream that does not hold the flow answers within a
+	// round trip.
+	deliveryTimeout = 50 * time.Millisecond
+	// maxDeliveries is about the number of steps in which all upstreams of a service get a
+	// packet.
+	maxDeliveries = 8
 	// maxProbeRetries limits the probe retries for one packet of the caller, which
 	// retransmits within 1.6 s.
 	maxProbeRetries = 5
@@ -286,7 +294,11 @@
 		c.countUnreadTime(now, b.Carried)
 		c.handlePacket(now, from, b.Carried)
 	case *message.Envelope_Claim:
-		c.handleClaim(now, from, b.Claim.GetFlow().ID())
+		owner := from
+		if b.Claim.Owner != 0 {
+			owner = flow.IP(b.Claim.Owner)
+		}
+		c.handleClaim(now, owner, b.Claim.GetFlow().ID())
 	case *message.Envelope_Denial:
 		c.handleDenial(now, from, b.Denial)
 	case *message.Envelope_Unsure:
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -16,7 +16,6 @@
 // Start starts a process that is not running, without its earlier state.
 func (w *World) Start(p *Process) {
 	p.startCount++
-	p.startedAt = w.now
 	p.Paused, p.backlog = false, nil
 	tick := forwarding.TickInterval
 	if p.Upstream == nil {
@@ -285,8 +284,8 @@
 }
 
 // recordStray records that a packet of a flow has reached an upstream that does not hold it. It
-// records a violation if the flow is open at another one whose agent runs, and only others
-// have got its packets for too long.
+// records a violation if the flow is open at another one, and only others have got its packets
+// for too long, also while the agent of its own restarts.
 func (w *World) recordStray(id flow.ID) {
 	if !w.ReportStrays {
 		return
@@ -297,7 +296,7 @@
 			continue
 		}
 		s := w.strays[id]
-		if s == nil || !p.Running() || p.Paused || p.startedAt > s.since {
+		if s == nil {
 			s = &stray{since: w.now}
 			w.strays[id] = s
 		}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -93,7 +93,6 @@
 	Paused       bool
 	service      string
 	startCount   uint64
-	startedAt    instant.Instant
 	failedProbes int
 	backlog      []func()
 }
