Explain searches for newcomers

A comment at the head of search.go says what the parts of a search are, and a named predicate says which packets callers repeat. No behaviour changes; the tests of the package pass.

--- a/internal/relay/serving/search.go
+++ b/internal/relay/serving/search.go
@@ -9,6 +9,14 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
 
+// A search has two parts. It first asks all agents of the service, and the homes of the route's
+// other services, who owns the flow. If none knows, agents that cannot tell deliver the caller's
+// packet to their upstreams, a few at a time, until one of them accepts it. It ends with a claim,
+// or once all agents have denied the flow; it then goes on in the next service or resets the flow.
+
+// callerRepeats reports whether a caller sends a packet again until it is acknowledged.
+func callerRepeats(p flow.Packet) bool { return p.Len > 0 || p.Flags.Has(flow.Fin) }
+
 // searchOwner probes all agents of the service that have not denied the flow, and passes the
 // packet to the other services of the route; or it queues the packet if they were probed
 // recently.
@@ -20,12 +28,12 @@
 		return
 	}
 	s.LastAck, s.Retries = p.AckSeq, 0
-	if p.Len == 0 && !p.Flags.Has(flow.Fin) {
-		// The caller does not repeat an acknowledgement, so that it could reach other upstreams
-		// only. The search goes on with a packet that it repeats.
+	if !callerRepeats(p) {
+		// It could reach other upstreams only, and never its own.
 		m.KnownOnly = true
 	}
 	mayDeliver := s.LastPacket.GetKnownOnly() && !m.KnownOnly
+	// A packet that may be delivered stays the one that is, until the next such packet.
 	keepsPacket := s.LastPacket != nil && !s.LastPacket.KnownOnly && m.KnownOnly
 	if keepsPacket || s.ProbedAt != 0 && now.Sub(s.ProbedAt) < probeRetryInterval && !mayDeliver {
 		if !keepsPacket && s.LastPacket.GetOthersIncomplete() && !m.OthersIncomplete {
@@ -159,6 +167,8 @@
 	}
 }
 
+// probeAgents sends a packet to all agents that have not denied the flow. Only those that have
+// to deliver it on trial do so without knowing the flow; see probe.
 func (c *Core) probeAgents(now instant.Instant, s *lookup.Search, m *message.Carried) {
 	s.LastPacket = m
 	for _, a := range c.searchedAgents(now, s) {
