--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -11,6 +11,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 )
@@ -42,8 +43,34 @@
 	HeartbeatEvery time.Duration
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// EvacuateWithin is how long after the request to evacuate a data centre new flows may
+	// still reach its upstreams; 0 if the deployment has no evacuations.
+	EvacuateWithin time.Duration
+	// DataCentres names all data centres, none if they are not known.
+	DataCentres Names
 }
 
+// Names is a list of names. Unlike a slice it can be compared with ==.
+type Names string
+
+// NamesOf returns the list of some names without duplicates and empty ones, sorted.
+func NamesOf(names ...string) Names {
+	names = slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == "" || strings.Contains(n, "\n") })
+	slices.Sort(names)
+	return Names(strings.Join(slices.Compact(names), "\n"))
+}
+
+// All returns the names in order.
+func (n Names) All() []string {
+	if n == "" {
+		return nil
+	}
+	return strings.Split(string(n), "\n")
+}
+
+// Contains reports whether a name is in the list.
+func (n Names) Contains(name string) bool { return slices.Contains(n.All(), name) }
+
 // AddAgentProblems adds a problem for each missing setting that an agent requires.
 func (s *Settings) AddAgentProblems(problems *Problems) {
 	for _, field := range []struct {
