Read and watch evacuations with the configuration

The syncer reads and watches the prefix of all operators' keys in place of the configuration's key, if the deployment has evacuations, so that they cost no further calls. A consistent read gives a whole set, a watch single changes. Stale reads are left out, since they may be of an earlier era than the answer names.

--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -8,6 +8,10 @@
 // periodically. The store may also be restored from an older copy: values are ordered by
 // the versions in them, never by the store's revisions.
 //
+// If the deployment has evacuations, the reads and watches cover the common prefix of the key
+// and of the evacuations instead of the key, so that they cost no further calls. See
+// evacuations.go.
+//
 // # Usage
 //
 //	s := configsync.New(cfg, store, logger)
@@ -64,6 +68,8 @@
 	OnStoreHealth func(ok bool)
 	// FetchFromPeer returns the latest value of another balancer.
 	FetchFromPeer func(ctx context.Context, from netip.Addr) ([]byte, error)
+	// Evacuations is nil if the deployment has no evacuations.
+	Evacuations *EvacuationConfig
 }
 
 // reportedVersion is a version that a balancer has.
@@ -105,7 +111,8 @@
 	// stored is the last value from the store, nil until there is one.
 	stored []byte
 	// nextRead is when the key is due for the next read.
-	nextRead time.Time
+	nextRead    time.Time
+	evacuations storedEvacuations
 }
 
 // New returns a syncer that runs until Close.
@@ -237,7 +244,7 @@
 // due if the store was restored meanwhile, since the answer may be from before.
 func (s *Syncer) readKey(ctx context.Context, stale bool) error {
 	start, before := time.Now(), s.store.Era()
-	kvs, rev, err := s.store.Read(ctx, store.Range{Key: s.Key, Stale: stale})
+	kvs, rev, err := s.store.Read(ctx, s.readRange(stale))
 	if err != nil {
 		return err
 	}
@@ -245,6 +252,9 @@
 	if before != 0 && era != before {
 		return nil
 	}
+	if s.Evacuations != nil && stale {
+		return s.handleStaleRead(era, kvs)
+	}
 	if s.era != 0 && era != s.era {
 		s.Warn("StoreRestored", "By", "Follower", "Era", era, "Before", s.era, "Version", s.version(), "WatchRevision", s.watchRevision, "Revision", rev)
 	}
@@ -255,6 +265,9 @@
 	for _, kv := range kvs {
 		s.handleChange(kv, "Read")
 	}
+	if s.Evacuations != nil && rev == s.watchRevision {
+		s.applyReadEvacuations(kvs)
+	}
 	if !stale {
 		s.OnConfirm(time.Since(start))
 	}
@@ -324,7 +337,11 @@
 			wait(ctx, watchCheckInterval)
 			continue
 		}
-		rev, err := s.store.Watch(ctx, s.Key, s.watchRevision, func(kv store.KV) { s.handleChange(kv, "Watch") })
+		rev, err := s.store.Watch(ctx, s.readRange(false).Key, s.watchRevision, func(kv store.KV) {
+			s.handleChange(kv, "Watch")
+			s.collectEvacuation(kv)
+		})
+		s.applyWatchedEvacuations()
 		switch {
 		case ctx.Err() != nil || s.store.Era() != s.era:
 		case eris.Is(err, store.ErrCompacted):
