Exchange the evacuated data centres between balancers

A balancer that watches the store announces a change to all members; others pass it on in their data centre at once, and all repeat the set in their reports. New flows wait until the set is known, and their first packets carry it. Without the setting no message or call changes.

--- a/cmd/jaytackd/main.go
+++ b/cmd/jaytackd/main.go
@@ -90,7 +90,10 @@
 
 func newDaemon(role string, proc *process.Process) (daemon, error) {
 	if role == "balancer" {
-		return balancer.New(proc, configsync.Config{Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration})
+		return balancer.New(proc, configsync.Config{
+			Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
+			Evacuations: &configsync.EvacuationConfig{Prefix: platform.OperatorPrefix, Decode: platform.DecodeEvacuation},
+		})
 	}
 	var problems settings.Problems
 	if proc.Settings.AddAgentProblems(&problems); problems.Err() != nil {
--- a/internal/relay/balancer/balancer.go
+++ b/internal/relay/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"github.com/jaytack/jaytack/internal/process/sockets"
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/configsync"
+	"github.com/jaytack/jaytack/internal/relay/evacuation"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/forwarding"
 	"github.com/jaytack/jaytack/internal/relay/message"
@@ -55,8 +56,8 @@
 	sender process.Sender
 }
 
-// New starts a balancer. syncConfig holds the configuration's key and decoder; New sets
-// the other fields.
+// New starts a balancer. syncConfig holds the keys and decoders of the configuration and of
+// evacuations; New sets the other fields.
 func New(p *process.Process, syncConfig configsync.Config) (*Balancer, error) {
 	s := p.Settings
 	callerConn, err := sockets.Listen(s.Callers)
@@ -66,7 +67,7 @@
 	p.SetCallerConn(callerConn)
 	b := &Balancer{
 		Process: p, callerConn: callerConn, done: make(chan struct{}),
-		core: forwarding.New(forwarding.Config{Self: p.Self(), DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec, FlowLifetime: s.FlowLifetime}),
+		core: forwarding.New(forwarding.Config{Self: p.Self(), DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec, FlowLifetime: s.FlowLifetime, Evacuations: s.EvacuateWithin > 0}),
 	}
 	// The lock holds back messages that arrive before the balancer is complete.
 	b.mu.Lock()
@@ -80,6 +81,7 @@
 	syncConfig.Apply = func(c *routes.Configuration, source string) {
 		b.update(func(core *forwarding.Core) { core.ApplyConfiguration(b.Now(), c, source) })
 	}
+	b.configureEvacuations(&syncConfig)
 	syncConfig.ShouldWatch = func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -144,6 +146,28 @@
 	return b, nil
 }
 
+// configureEvacuations removes the evacuations from the configuration of the syncer if the
+// deployment has none, and sets their callbacks otherwise.
+func (b *Balancer) configureEvacuations(syncConfig *configsync.Config) {
+	s := b.Settings
+	if s.EvacuateWithin <= 0 || syncConfig.Evacuations == nil {
+		syncConfig.Evacuations = nil
+		return
+	}
+	cfg := *syncConfig.Evacuations
+	cfg.IsDataCentre = func(name string) bool { return s.DataCentres == "" || s.DataCentres.Contains(name) }
+	cfg.Apply = func(set evacuation.Set, source string) {
+		b.update(func(c *forwarding.Core) { c.ApplyEvacuations(b.Now(), set, source) })
+	}
+	syncConfig.Evacuations = &cfg
+	b.Metrics.Func("Evacuations", func() any {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		set, known := b.core.EvacuationSet()
+		return map[string]any{"Known": known, "DataCentres": set.Names(), "Era": set.Era, "Revision": set.Revision}
+	})
+}
+
 // peerHandler serves the latest configuration to other balancers.
 func (b *Balancer) peerHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -25,6 +25,7 @@
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/action"
+	"github.com/jaytack/jaytack/internal/relay/evacuation"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
@@ -85,6 +86,9 @@
 	Codec       flow.Codec
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// Evacuations is set if the deployment has evacuations: new flows wait until the set of
+	// evacuated data centres is known, and their first packets carry it.
+	Evacuations bool
 }
 
 // Counts holds event counters since the start of the process.
@@ -92,6 +96,8 @@
 	Packets, ToOwner, ToHome, Resets, Dropped, Waited, Unreadable, Hints int64
 	// Reports, Announcements and ReportRequests count the messages about members.
 	Reports, Announcements, ReportRequests int64
+	// EvacuationChanges counts the changes of the set of evacuated data centres.
+	EvacuationChanges int64
 }
 
 type hint struct {
@@ -132,6 +138,7 @@
 	// enough do.
 	unwatchedSince instant.Instant
 	history        storedHistory
+	evacuations    evacuation.Table
 	// failedComponents holds the components of the process that cannot reach the store.
 	failedComponents map[string]bool
 }
@@ -154,6 +161,8 @@
 		return false, "Stopping"
 	case c.Routes.Version() == 0:
 		return false, "NoConfiguration"
+	case c.lacksEvacuations():
+		return false, "NoEvacuations"
 	case !c.Members.IsLoaded() && c.Members.Len() == 0:
 		return false, "NoMembers"
 	}
@@ -192,6 +201,8 @@
 		c.enqueue(now, p)
 	case route == nil:
 		c.rejectUnrouted(p)
+	case p.OpensFlow() && c.lacksEvacuations():
+		c.enqueue(now, p)
 	default:
 		c.forwardToAgent(now, p, waited, route)
 	}
@@ -230,7 +241,9 @@
 		}
 		delete(c.hints, p.Flow)
 	}
-	if !p.OpensFlow() {
+	if p.OpensFlow() {
+		m.Evacuations = c.evacuations.Message()
+	} else {
 		c.setOtherServices(now, m, r)
 	}
 	home, ok := c.Members.Home(now, service, c.DataCentre, hash)
--- a/internal/relay/forwarding/report.go
+++ b/internal/relay/forwarding/report.go
@@ -35,6 +35,9 @@
 	if report.ReplyWanted {
 		c.sendReport(now, from, false)
 	}
+	if r.Service == "" {
+		c.mergeReportedEvacuations(now, from, report.Evacuations)
+	}
 	if !c.Members.ApplyReport(now, r, time.Duration(report.IntervalMillis)*time.Millisecond) {
 		return
 	}
@@ -120,6 +123,7 @@
 	valid := max(c.versionValidUntil.Sub(now), 0)
 	return &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{
 		Record: c.Record(), VersionValidMillis: uint32(valid / time.Millisecond), IntervalMillis: uint32(interval / time.Millisecond),
+		Evacuations: c.evacuations.Message(),
 	}}}
 }
 
