Place no new flows in evacuated data centres

Homes leave out candidates in evacuated data centres, and agents there forward new flows, also those that wait. The home in an evacuated data centre knows the load of about two agents in each other one, so it lets one of these place the flow, which knows many. If all agents of a service are in evacuated data centres, new flows are refused at once.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -240,6 +240,14 @@
 		defer a.mu.Unlock()
 		return a.core.Counts
 	})
+	if a.Settings.EvacuateWithin > 0 {
+		a.Metrics.Func("Evacuations", func() any {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			set, known := a.core.EvacuationSet()
+			return map[string]any{"Known": known, "DataCentres": set.Names(), "Era": set.Era, "Revision": set.Revision}
+		})
+	}
 	a.Metrics.Func("Tables", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/relay/explanation/explanation.go
+++ b/internal/relay/explanation/explanation.go
@@ -39,6 +39,8 @@
 	"NoAgent":              "The service had no agents. The request has not run.",
 	"UpstreamFull":         "More flows waited than could have their turn before callers give up. The request has not run. See what took the capacity: upstreams that started, drained or fell silent before.",
 	"NoUpstreamTakesFlows": "No upstream of the service took new flows. The request has not run. See UpstreamStateChanged of its agents.",
+	"AllEvacuated":         "All data centres with upstreams of the service were evacuated. The request has not run. See EvacuationsChanged.",
+	"Evacuated":            "The data centre was evacuated, so the new flow went on to another one, and nothing later is logged. See EvacuationsChanged.",
 	"UpstreamLostFlow":     "The upstream no longer held the flow: it had restarted. Whether the request ran is not known.",
 	"UpstreamReplaced":     "Another upstream had taken the place of the one that held the flow. Whether the request ran is not known.",
 	"AllUpstreamsDenied":   "No upstream held the flow: the one that did has restarted or left. Whether the request ran is not known.",
@@ -60,6 +62,7 @@
 var stateEvents = map[string]bool{
 	"Started": true, "Stopping": true, "Stopped": true, "StoreLost": true, "StoreRegained": true, "StoreRestored": true, "ConfigurationApplied": true,
 	"UpstreamStateChanged": true, "UpstreamReplaced": true, "UpstreamAbsent": true, "MemberForgotten": true, "LeaseLapsed": true,
+	"EvacuationsChanged": true,
 }
 
 // Line is one line of a log.
--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -23,6 +23,10 @@
 		c.redirect(now, p, m)
 		return
 	}
+	if c.isEvacuated() && !c.wasOffered(now, p.Flow) {
+		c.redirectEvacuated(now, p, m, 0)
+		return
+	}
 	if f := c.flows.Get(p.Flow); f != nil && f.Phase >= flowtable.Offered {
 		c.deliverFirstPacket(now, p, m)
 		return
@@ -141,6 +145,7 @@
 func (c *Core) redirect(now instant.Instant, p flow.Packet, m *message.Carried) {
 	c.Counts.Redirected++
 	m.Excluded = append(m.Excluded, uint32(c.Self))
+	m.Evacuations = c.evacuations.Message()
 	home := flow.IP(m.Home)
 	if home == 0 {
 		home = c.homeOf(now, p.Flow, m.DataCentre)
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -33,10 +33,14 @@
 
 // place selects the agent for a new flow and forwards the first packet to it.
 func (c *Core) place(now instant.Instant, p flow.Packet, m *message.Carried) {
-	candidates := c.Sample(p.Flow.Hash(), c.candidates(now, m))
+	all := c.candidates(now, m)
+	if c.passToDeputy(now, p, m, all) {
+		return
+	}
+	candidates := c.Sample(p.Flow.Hash(), all)
 	to, ok := c.loads.Choose(candidates)
 	if !ok || len(m.Excluded) >= maxPlacements {
-		c.refuse(now, p, m, "NoUpstreamTakesFlows")
+		c.refuse(now, p, m, c.refusalReason("NoUpstreamTakesFlows"))
 		return
 	}
 	c.Counts.Placed++
@@ -54,11 +58,12 @@
 // flows.
 func (c *Core) candidates(now instant.Instant, m *message.Carried) []load.Candidate {
 	var out []load.Candidate
+	local := c.localDataCentre(m)
 	add := func(id flow.IP, dataCentre string, state message.State, reporting bool) {
-		if slices.Contains(m.Excluded, uint32(id)) {
+		if slices.Contains(m.Excluded, uint32(id)) || c.evacuations.Contains(dataCentre) {
 			return
 		}
-		cand := load.Candidate{Agent: id, Remote: dataCentre != m.DataCentre}
+		cand := load.Candidate{Agent: id, Remote: dataCentre != local}
 		switch state {
 		case message.State_StateReady:
 			cand.Unconfirmed = !reporting
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -30,6 +30,7 @@
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/admission"
+	"github.com/jaytack/jaytack/internal/relay/evacuation"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
 	"github.com/jaytack/jaytack/internal/relay/load"
@@ -160,6 +161,10 @@
 	// Reports, Announcements and ReportRequests count the messages about members, Probes
 	// those of searches, ListedDenials the denials with a list of members.
 	Reports, Announcements, ReportRequests, Probes, ListedDenials int64
+	// EvacuationChanges counts the changes of the set of evacuated data centres, Evacuated the
+	// new flows that were forwarded since this data centre is evacuated, PassedOn those that
+	// another agent places for it.
+	EvacuationChanges, Evacuated, PassedOn int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
@@ -221,6 +226,7 @@
 	flows           *flowtable.Table
 	waitQueue       *admission.Queue
 	loads           *load.Tracker
+	evacuations     evacuation.Table
 	upstream        upstreamState
 	sequence        uint64
 	state           message.State
@@ -322,6 +328,7 @@
 		c.sendHint(p.Flow, flow.IP(m.Balancer), 0)
 		return
 	}
+	c.exchangeEvacuations(now, from, p, m)
 	switch m.Step {
 	case message.Step_StepHome:
 		c.handleAsHome(now, p, m)
