Evacuate data centres in the virtual fleet

The stand-in's store holds evacuations, its balancers watch them, and a new flow that reaches an evacuated upstream too late is a violation. Tests evacuate one, two and all data centres under load and faults, and take them back.

--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -19,7 +19,7 @@
 	p.Paused, p.backlog = false, nil
 	tick := forwarding.TickInterval
 	if p.Upstream == nil {
-		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, FlowLifetime: flow.DefaultLifetime})
+		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, FlowLifetime: flow.DefaultLifetime, Evacuations: w.EvacuateWithin > 0})
 	} else {
 		tick = serving.TickInterval
 		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime})
@@ -32,6 +32,9 @@
 		w.checkListening(p, p.startCount)
 	}
 	start := p.startCount
+	if p.Balancer != nil && w.EvacuateWithin > 0 {
+		w.watchEvacuations(p, start)
+	}
 	if w.MaxReadDelay == 0 {
 		w.after(storeLatency, func() { w.refreshMembership(p, start) })
 		return
@@ -58,6 +61,7 @@
 }
 
 func (w *World) applyConfiguration(p *Process) {
+	w.readEvacuations(p)
 	p.Balancer.ApplyConfiguration(w.now, &routes.Configuration{Version: w.configurationVersion, Routes: slices.Clone(w.Routes)}, "Read")
 }
 
@@ -226,8 +230,10 @@
 // with its full lifetime, and removes all later ones.
 func (w *World) CopyEntries() (restore func()) {
 	entries, checkpoints, history := maps.Clone(w.entries), maps.Clone(w.checkpoints), w.history
+	restoreEvacuations := w.copyEvacuations()
 	return func() {
 		w.storeEra++
+		restoreEvacuations()
 		w.LoseEntries()
 		w.history = history
 		for ip, e := range entries {
@@ -258,6 +264,8 @@
 		case action.Reply:
 			h, _ := parseHeader(a.Bytes)
 			w.sendToCaller(p.IP, a.Flow, a.Bytes, h.Flags == flow.Rst)
+		case action.Refresh:
+			w.fetchConfiguration(p, a.To)
 		}
 	}
 }
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -80,6 +80,9 @@
 	// MaxReadDelay is the longest time by which a balancer that starts reads its members later
 	// than its configuration.
 	MaxReadDelay time.Duration
+	// EvacuateWithin is the time after which an evacuation must be in force. 0 makes a fleet
+	// without evacuations.
+	EvacuateWithin time.Duration
 	// Trace, if set, is called with each decision of a process.
 	Trace func(at time.Duration, process flow.IP, event string, pairs []any)
 }
@@ -98,6 +101,8 @@
 	startCount   uint64
 	failedProbes int
 	backlog      []func()
+	// evacuationsReadAt is the startCount at which the process read the evacuations.
+	evacuationsReadAt uint64
 }
 
 // Running reports whether the process runs.
@@ -140,6 +145,7 @@
 	checkpoints map[flow.IP]*message.Checkpoint
 	// history is the history of the routes that balancers have stored.
 	history              []routes.History
+	operators            operators
 	callerFlows          map[flow.Endpoint]*callerFlow
 	configurationVersion routes.Version
 	allowedServices      map[flow.Endpoint][]string
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -169,6 +169,7 @@
 	if h.Flags.Has(flow.Syn) {
 		u.SynsReceived++
 		if f == nil {
+			u.w.recordNewFlow(u.p, id)
 			f = &upstreamFlow{sequence: u.w.Random.Uint32()}
 			u.flows[id] = f
 		}
