--- a/internal/relay/serving/evacuations_test.go
+++ b/internal/relay/serving/evacuations_test.go
@@ -145,3 +145,29 @@
 	qt.Check(t, f.Counts.PassedOn < 10, qt.IsTrue, qt.Commentf("%d", f.Counts.PassedOn))
 	qt.Check(t, f.Counts.Refused, qt.Not(qt.Equals), int64(0))
 }
+
+// TestHomeLearnsOfOwnerPlacedByAnother guards against a search for each flow that another agent
+// has placed for the home in an evacuated data centre. Homes that placed a flow get no claim.
+func TestHomeLearnsOfOwnerPlacedByAnother(t *testing.T) {
+	for _, placedBy := range []flow.IP{8, 20} {
+		f := newEvacuationFixture(agentRecord(8, "a"), agentRecord(20, "b"))
+		f.HandleMessage(f.now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
+			Packet: []byte{1}, Step: message.Step_StepPlace, Service: "padron", DataCentre: "b", Balancer: 5, Home: uint32(placedBy),
+			Evacuations: &message.Evacuations{Era: 1, Revision: 1, DataCentres: []string{"b"}},
+		}}})
+		f.TakeOutput()
+		f.Codec.DecodeFromUpstream = func([]byte) (flow.Packet, bool) {
+			return flow.Packet{Flow: flow.ID{Caller: flow.Endpoint{IP: 1, Port: 1}, Address: id.Address}, Flags: flow.Syn | flow.Ack}, true
+		}
+		f.HandleUpstreamPacket(f.now, []byte{1})
+		claims := 0
+		actions, _ := f.TakeOutput()
+		for _, a := range actions {
+			if a.Message.GetClaim() != nil {
+				qt.Check(t, a.To, qt.Equals, flow.IP(20))
+				claims++
+			}
+		}
+		qt.Check(t, claims == 1, qt.Equals, placedBy == 8, qt.Commentf("placed by %v: %d claims", placedBy, claims))
+	}
+}
--- a/internal/standin/relay/evacuation_test.go
+++ b/internal/standin/relay/evacuation_test.go
@@ -173,3 +173,30 @@
 	qt.Check(t, n, qt.Equals, 0, qt.Commentf("of %d", served))
 	qt.Check(t, w.NewFlows("dc-1", back+time.Second, end) > 0, qt.IsTrue)
 }
+
+// TestOpenFlowsSurviveEvacuations guards against the reset of an open flow whose home does not
+// know its owner, since another agent has placed it, while faults overlap with evacuations.
+// Faults may keep a request from a process for any time, so that the bound is not checked.
+func TestOpenFlowsSurviveEvacuations(t *testing.T) {
+	for _, seed := range testSeedsOf(t, "JAYTACK_EVACUATION_SEEDS", 3, nil) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			cfg := evacuating(seed, time.Hour)
+			for i := range cfg.Callers {
+				cfg.Callers[i].Callers /= 8
+			}
+			n := countEvents(&cfg)
+			w, faults := newRandomRunOf(cfg, randomFaults)
+			for range 6 {
+				dc := dataCentre(w.r.IntN(3))
+				at := w.between(1500*time.Millisecond, 9*time.Second)
+				w.At(at, func() { w.Evacuate(dc) })
+				w.At(at+w.between(100*time.Millisecond, 4*time.Second), func() { w.TakeBack(dc) })
+				faults = append(faults, fmt.Sprint("Evacuate ", dc, " ", at))
+			}
+			w.Run(randomRunEnd)
+			qt.Check(t, w.Violations, qt.HasLen, 0, qt.Commentf("faults %v", faults))
+			t.Logf("passed on %d", n["FlowPassedOn"])
+		})
+	}
+}
