--- a/internal/relay/forwarding/evacuations_test.go
+++ b/internal/relay/forwarding/evacuations_test.go
@@ -85,9 +85,9 @@
 	qt.Check(t, told[12].GetRevision(), qt.Equals, int64(7), qt.Commentf("it is passed on in the own data centre"))
 }
 
-// TestChangesAreToldAtOnce guards against agents, and balancers of other data centres, that hear
+// TestChangesAreReportedAtOnce guards against agents, and balancers of other data centres, that hear
 // of a change with a later regular report or not at all.
-func TestChangesAreToldAtOnce(t *testing.T) {
+func TestChangesAreReportedAtOnce(t *testing.T) {
 	f := newEvacuationFixture(true)
 	set := evacuation.Set{Version: evacuation.Version{Era: 1, Revision: 3}}
 	f.ApplyEvacuations(f.now, set, "Read")
--- a/internal/relay/serving/evacuations.go
+++ b/internal/relay/serving/evacuations.go
@@ -90,30 +90,30 @@
 	return m.DataCentre
 }
 
-// passToDeputy lets an agent of another data centre place a new flow, if this data centre is
+// delegatePlacement lets an agent of another data centre place a new flow, if this data centre is
 // evacuated and some agents of the others are not among the candidates. An agent knows the load
 // of many agents of its own data centre, but only of a few of each other one.
-func (c *Core) passToDeputy(now instant.Instant, p flow.Packet, m *message.Carried, candidates []load.Candidate) bool {
+func (c *Core) delegatePlacement(now instant.Instant, p flow.Packet, m *message.Carried, candidates []load.Candidate) bool {
 	if !c.isEvacuated() || len(m.Excluded) >= maxPlacements {
 		return false
 	}
-	deputy, others := c.deputy(now, p.Flow.Hash(), m)
-	if deputy == 0 || others <= len(candidates) {
+	delegate, others := c.delegate(now, p.Flow.Hash(), m)
+	if delegate == 0 || others <= len(candidates) {
 		return false
 	}
 	c.Counts.PassedOn++
 	// Excluded bounds how often the flow is passed on.
 	m.Excluded = append(m.Excluded, uint32(c.Self))
-	c.LogRoutine("FlowPassedOn", "Flow", p.Flow, "Reason", "Evacuated", "Agent", deputy, "Candidates", len(candidates), "Others", others, "Copy", p.AckSeq)
-	c.sendPacket(now, deputy, m, message.Step_StepHome)
+	c.LogRoutine("FlowPassedOn", "Flow", p.Flow, "Reason", "Evacuated", "Agent", delegate, "Candidates", len(candidates), "Others", others, "Copy", p.AckSeq)
+	c.sendPacket(now, delegate, m, message.Step_StepHome)
 	return true
 }
 
-// deputy returns the agent that places a flow in place of this one, 0 if there is none, and the
+// delegate returns the agent that places a flow in place of this one, 0 if there is none, and the
 // number of agents in data centres that are not evacuated and may accept it. It prefers agents
 // that report to this one, since they are known to be alive, and among equals the highest
 // rendezvous weight.
-func (c *Core) deputy(now instant.Instant, hash uint64, m *message.Carried) (best flow.IP, others int) {
+func (c *Core) delegate(now instant.Instant, hash uint64, m *message.Carried) (best flow.IP, others int) {
 	bestReports, bestWeight := false, uint64(0)
 	for _, r := range c.Members.Agents(c.Service) {
 		if c.evacuations.Contains(r.DataCentre) || !membership.IsStaying(r.State) || slices.Contains(m.Excluded, r.Instance) {
@@ -131,9 +131,9 @@
 	return best, others
 }
 
-// wasPlacedByDeputy reports whether another agent has placed a flow for its home, which then
+// wasPlacedByDelegate reports whether another agent has placed a flow for its home, which then
 // does not know the owner.
-func (c *Core) wasPlacedByDeputy(f *flowtable.Flow, home flow.IP) bool {
+func (c *Core) wasPlacedByDelegate(f *flowtable.Flow, home flow.IP) bool {
 	return f.PlacedBy != 0 && f.PlacedBy != home && c.evacuations.Contains(f.DataCentre)
 }
 
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -226,7 +226,7 @@
 	}
 	c.sendHint(f.ID, f.Balancer, c.Self)
 	home, ok := c.Members.Home(now, c.Service, f.DataCentre, f.ID.Hash())
-	if ok && (!p.Flags.Has(flow.Syn) || c.wasPlacedByDeputy(f, home)) && home != f.Home {
+	if ok && (!p.Flags.Has(flow.Syn) || c.wasPlacedByDelegate(f, home)) && home != f.Home {
 		c.sendClaim(f, home)
 	}
 	c.setHome(f, home)
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -34,7 +34,7 @@
 // place selects the agent for a new flow and forwards the first packet to it.
 func (c *Core) place(now instant.Instant, p flow.Packet, m *message.Carried) {
 	all := c.candidates(now, m)
-	if c.passToDeputy(now, p, m, all) {
+	if c.delegatePlacement(now, p, m, all) {
 		return
 	}
 	candidates := c.Sample(p.Flow.Hash(), all)
--- a/internal/standin/relay/evacuation.go
+++ b/internal/standin/relay/evacuation.go
@@ -21,11 +21,10 @@
 // operators is what the operators have written to the store about evacuations, and what the
 // upstreams have seen of it.
 type operators struct {
-	revision evacuation.Revision
-	// evacuatedAt holds the evacuated data centres and when the store acknowledged each, and
-	// acknowledgedAt the last change.
+	// revision is that of the store, changedAt that of the latest change.
+	revision, changedAt evacuation.Revision
+	// evacuatedAt holds the evacuated data centres and when the store acknowledged each.
 	evacuatedAt map[string]instant.Instant
-	changedAt   evacuation.Revision
 	// newFlows holds the times at which new flows reached the upstreams of each data centre.
 	newFlows map[string][]instant.Instant
 }
