Decode warm-up limits and carry them in first packets

Cause: an upstream that has just started takes few new flows a second, and neither the configuration's rate nor the tolerated overage was read.

Without a rate no field is set.

Nothing enforces the limit yet.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -230,7 +230,9 @@
 		}
 		delete(c.hints, p.Flow)
 	}
-	if !p.OpensFlow() {
+	if p.OpensFlow() {
+		m.WarmUpRate = float64(c.Routes.WarmUpRate(service))
+	} else {
 		c.setOtherServices(now, m, r)
 	}
 	home, ok := c.Members.Home(now, service, c.DataCentre, hash)
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -13,6 +13,7 @@
 	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/routes"
+	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
 // sendReport passes a core the report of a balancer that has a version in force.
@@ -216,3 +217,33 @@
 	qt.Check(t, m.GetOthersIncomplete(), qt.IsFalse)
 	qt.Check(t, m.GetUnnamed(), qt.DeepEquals, []string{"recuento"})
 }
+
+// TestFirstPacketsCarryTheWarmUpRate guards against agents that do not learn of a warm-up limit,
+// and against a field on packets that need none.
+func TestFirstPacketsCarryTheWarmUpRate(t *testing.T) {
+	for _, rate := range []float64{0, 12.5} {
+		for _, flags := range []flow.Flags{flow.Syn, flow.Ack} {
+			now := instant.Instant(time.Second)
+			address := flow.Endpoint{IP: 9, Port: 443}
+			p := flow.Packet{Flow: flow.ID{Caller: flow.Endpoint{IP: 1, Port: 1025}, Address: address}, Flags: flags}
+			c := forwarding.New(forwarding.Config{Self: 20, DataCentre: "a", Codec: flow.Codec{
+				DecodeFromCaller: func([]byte) (flow.Packet, bool) { return p, true },
+			}})
+			cfg := &routes.Configuration{Version: 1, Routes: []routes.Route{{Address: address, Shares: []routes.Share{{Service: "stock", Weight: 1}}}}}
+			if rate > 0 {
+				cfg.Services = []routes.Service{{Name: "stock", WarmUpRate: warmup.Rate(rate)}}
+			}
+			c.ApplyConfiguration(now, cfg, "Test")
+			c.ApplyStored(now, []*message.Record{{Instance: 30, Service: "stock", DataCentre: "a", Incarnation: 1, Sequence: 1, State: message.State_StateReady}})
+			c.TakeOutput()
+			c.HandlePacket(now, []byte{1})
+			actions, _ := c.TakeOutput()
+			qt.Assert(t, actions, qt.HasLen, 1)
+			want := rate
+			if flags != flow.Syn {
+				want = 0
+			}
+			qt.Check(t, actions[0].Message.GetCarried().WarmUpRate, qt.Equals, want)
+		}
+	}
+}
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -20,6 +20,7 @@
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
 // Version orders configurations. Versions may skip numbers; 0 means none.
@@ -120,10 +121,22 @@
 // maxFormerServices limits the former services of a route.
 const maxFormerServices = 4
 
+// Service holds the settings of a service whose cold upstreams take a limited rate of new flows.
+type Service struct {
+	Name string
+	// WarmUpTime is how long an upstream is cold after its start. It is stored but not
+	// applied: heartbeats report the time that remains.
+	WarmUpTime time.Duration
+	// WarmUpRate is the rate of new flows that a cold upstream takes.
+	WarmUpRate warmup.Rate
+}
+
 // Configuration is one version of all routes.
 type Configuration struct {
 	Version Version
 	Routes  []Route
+	// Services lists the services with a warm-up limit.
+	Services []Service
 	// IdleTimeout is the configured idle timeout of flows. It is stored but not applied:
 	// the tables use timeouts of their own.
 	IdleTimeout time.Duration
@@ -137,8 +150,14 @@
 	historySince instant.Instant
 	// services lists the current services of all routes, sorted.
 	services []string
+	// warmUpRates holds the rates of the services with a warm-up limit.
+	warmUpRates map[string]warmup.Rate
 }
 
+// WarmUpRate returns the rate of new flows that a cold upstream of a service takes, 0 for no
+// limit.
+func (t *Table) WarmUpRate(service string) warmup.Rate { return t.warmUpRates[service] }
+
 // Version returns the version in force, 0 for none.
 func (t *Table) Version() Version { return t.version }
 
@@ -172,6 +191,13 @@
 		}
 	}
 	t.services = slices.Sorted(maps.Keys(services))
+	t.warmUpRates = nil
+	for _, s := range c.Services {
+		if t.warmUpRates == nil {
+			t.warmUpRates = make(map[string]warmup.Rate)
+		}
+		t.warmUpRates[s.Name] = s.WarmUpRate
+	}
 	return true
 }
 
--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -13,6 +13,8 @@
 	"net/netip"
 	"strings"
 	"time"
+
+	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
 // Settings holds the settings of a balancer or agent.
@@ -42,6 +44,8 @@
 	HeartbeatEvery time.Duration
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// WarmUp is what cold upstreams tolerate beyond the rate of their service.
+	WarmUp warmup.Bounds
 }
 
 // AddAgentProblems adds a problem for each missing setting that an agent requires.
