Enforce warm-up limits at the agent beside the upstream

Cause: cold upstreams got as many new flows as homes placed at them.

Change: the agent delivers at most the service's rate of first packets in any sliding second while its upstream is cold or nothing recent shows that it is not (no heartbeat yet, one overdue, or a sign that the upstream was away). A flow over the limit waits if it can be in time, else goes to an agent with flows left, else waits if its turn comes before its caller gives up, else is refused at once. Reports state the flows left and placement passes over agents without any. The virtual fleet reports upstreams that get too many.

--- a/internal/relay/admission/admission.go
+++ b/internal/relay/admission/admission.go
@@ -63,6 +63,9 @@
 	Slots, InSystem int
 	// ServiceTime is the usual duration of a request, without queueing.
 	ServiceTime time.Duration
+	// InOrder is set while a warm-up limit holds back flows: each then waits for a turn that
+	// comes before its caller gives up, so no later one may go first.
+	InOrder bool
 }
 
 // expectedLatency returns the expected time until a request that arrives now is answered.
@@ -82,6 +85,8 @@
 	TargetLatency time.Duration
 	// Priority is the route's priority; 0 is the highest.
 	Priority uint32
+	// WaitsForTurn is set if the flow has had to wait for a turn under a warm-up limit.
+	WaitsForTurn bool
 }
 
 func (e *Entry) targetLatency() time.Duration {
@@ -97,6 +102,12 @@
 	return load.InSystem < maxRequestsPerSlot*load.Slots && now.Sub(e.FirstSentAt)+networkOverhead+load.expectedLatency() <= e.targetLatency()
 }
 
+// MeetsTargetAt reports whether the request can meet its target latency if the flow is
+// delivered at a later time.
+func (e *Entry) MeetsTargetAt(at instant.Instant, load UpstreamLoad) bool {
+	return e.canMeetTarget(at, load)
+}
+
 // canMeetTarget reports whether the request would meet its target latency at an idle
 // upstream.
 func (e *Entry) canMeetTarget(now instant.Instant, load UpstreamLoad) bool {
@@ -114,9 +125,20 @@
 // Len returns the number of queued flows.
 func (q *Queue) Len() int { return len(q.entries) }
 
+// Contains reports whether a flow is queued.
+func (q *Queue) Contains(id flow.ID) bool {
+	return slices.ContainsFunc(q.entries, func(x *Entry) bool { return x.Flow == id })
+}
+
 // CanAdmit reports whether a flow may be delivered to the upstream now.
 func CanAdmit(now instant.Instant, e *Entry, load UpstreamLoad) bool {
-	return load.InSystem < maxRequestsPerSlotIfLate*load.Slots || e.meetsTargetNow(now, load)
+	limit := maxRequestsPerSlotIfLate
+	if e.WaitsForTurn {
+		// The warm-up limit has kept such flows few. Requests whose callers have given up
+		// count as running until they time out, and would keep back the rest.
+		limit = maxRequestsPerSlot
+	}
+	return load.InSystem < limit*load.Slots || e.meetsTargetNow(now, load)
 }
 
 // Add queues a flow, or updates the entry of a flow that is already queued. If more than
@@ -175,6 +197,9 @@
 
 // precedes reports whether a is ordered before b.
 func (q *Queue) precedes(now instant.Instant, load UpstreamLoad, a, b *Entry) bool {
+	if load.InOrder {
+		return a.ExpiresAt < b.ExpiresAt
+	}
 	aCanMeet, bCanMeet := a.canMeetTarget(now, load), b.canMeetTarget(now, load)
 	switch {
 	case aCanMeet != bCanMeet:
--- a/internal/relay/admission/admission_test.go
+++ b/internal/relay/admission/admission_test.go
@@ -121,3 +121,25 @@
 		})
 	}
 }
+
+// TestFlowsUnderAWarmUpLimitKeepTheirTurns guards against flows that wait in vain: each was queued
+// since its turn comes before its caller gives up, so no later one may go first.
+func TestFlowsUnderAWarmUpLimitKeepTheirTurns(t *testing.T) {
+	now := instant.Instant(10 * time.Second)
+	load := UpstreamLoad{Slots: 2, ServiceTime: 20 * time.Millisecond, InOrder: true}
+	q := New()
+	for i := range 5 {
+		sentAt := now.Add(-time.Duration(i) * 200 * time.Millisecond)
+		e := &Entry{
+			Flow: flow.ID{Caller: flow.Endpoint{IP: flow.IP(i + 1)}}, FirstSentAt: sentAt, ExpiresAt: sentAt.Add(flow.OpenTimeout),
+			TargetLatency: 200 * time.Millisecond, Priority: uint32(i), WaitsForTurn: true,
+		}
+		qt.Assert(t, q.Add(now, e, load), qt.IsNil)
+		qt.Assert(t, q.Contains(e.Flow), qt.IsTrue)
+	}
+	for want := 5; want > 0; want-- {
+		e, ok := q.Next(now, load)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, e.Flow.Caller.IP, qt.Equals, flow.IP(want))
+	}
+}
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -69,7 +69,7 @@
 		Process: p, upstreamConn: upstreamConn, done: make(chan struct{}),
 		core: serving.New(serving.Config{
 			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
-			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime,
+			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime, WarmUp: s.WarmUp,
 		}),
 	}
 	// The lock holds back messages that arrive before the agent is complete.
@@ -244,7 +244,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		flows, busy, owners, searches := a.core.Sizes()
-		return map[string]any{"State": a.core.State().String(), "Flows": flows, "Busy": busy, "Owners": owners, "Searches": searches}
+		return map[string]any{"State": a.core.State().String(), "Flows": flows, "Busy": busy, "Owners": owners, "Searches": searches, "FlowsLeft": a.core.FlowsLeft(a.Now())}
 	})
 }
 
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -60,6 +60,9 @@
 	Idle int
 	// Cold is set while the upstream is slow after its start.
 	Cold bool
+	// FlowsLeft is the number of new flows, plus 1, that the cold upstream still takes; 0
+	// means no limit.
+	FlowsLeft int
 }
 
 type agentLoad struct {
@@ -76,16 +79,22 @@
 	// Unconfirmed is set if the agent has not confirmed that its upstream is ready,
 	// LikelyDown if that confirmation is overdue.
 	Unconfirmed, LikelyDown bool
+	// NoFlowsLeft is set if the agent's cold upstream takes no new flow now.
+	NoFlowsLeft bool
 }
 
 // Sample returns the candidates to compare for a flow: those with the highest rendezvous
 // weight among the local and among the remote ones, or more of one kind if the other
-// has too few. LikelyDown candidates are left out if there are others.
+// has too few. LikelyDown candidates are left out if there are others, then those without any
+// flows left.
 func Sample(hash uint64, candidates []Candidate) []Candidate {
 	available := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.LikelyDown })
 	if len(available) == 0 {
 		available = candidates
 	}
+	if withFlowsLeft := slices.DeleteFunc(slices.Clone(available), func(c Candidate) bool { return c.NoFlowsLeft }); len(withFlowsLeft) > 0 {
+		available = withFlowsLeft
+	}
 	if len(available) <= localSampleSize+remoteSampleSize {
 		return available
 	}
@@ -140,6 +149,13 @@
 // AddPlacement counts a flow placed at an agent since its last report.
 func (t *Tracker) AddPlacement(a flow.IP) { t.getOrCreate(a).placedSinceReport++ }
 
+// HasFlowsLeft reports whether an agent's upstream takes new flows as far as its last report
+// and the placements since then tell: it is not cold, or its warm-up limit is not used up.
+func (t *Tracker) HasFlowsLeft(a flow.IP) bool {
+	e := t.agents[a]
+	return e == nil || e.FlowsLeft == 0 || e.FlowsLeft-1 > e.placedSinceReport
+}
+
 // Cost returns the expected wait at an agent, in request durations of its upstream.
 func (t *Tracker) Cost(c Candidate) float64 {
 	e := t.getOrCreate(c.Agent)
--- a/internal/relay/load/load_test.go
+++ b/internal/relay/load/load_test.go
@@ -82,3 +82,23 @@
 		qt.Assert(t, n <= 8, qt.IsTrue, qt.Commentf("%v gets %d of %d", a, n, homes))
 	}
 }
+
+// TestUpstreamsWithoutFlowsLeftArePassedOver guards against new flows for cold upstreams that have
+// used up their warm-up limit while others take flows.
+func TestUpstreamsWithoutFlowsLeftArePassedOver(t *testing.T) {
+	tracker := load.New()
+	tracker.Update(1, load.Report{Slots: 2, FlowsLeft: 3})
+	tracker.Update(2, load.Report{Slots: 2, Busy: 9})
+	qt.Assert(t, tracker.HasFlowsLeft(1), qt.IsTrue)
+	tracker.AddPlacement(1)
+	qt.Assert(t, tracker.HasFlowsLeft(1), qt.IsTrue)
+	tracker.AddPlacement(1)
+	qt.Assert(t, tracker.HasFlowsLeft(1), qt.IsFalse)
+	qt.Assert(t, tracker.HasFlowsLeft(2), qt.IsTrue)
+	candidates := []load.Candidate{{Agent: 1, NoFlowsLeft: true}, {Agent: 2}}
+	agent, ok := tracker.Choose(load.Sample(7, candidates))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, agent, qt.Equals, candidates[1].Agent)
+	// With no flows left anywhere the agent decides whether the flow waits.
+	qt.Assert(t, load.Sample(7, candidates[:1]), qt.HasLen, 1)
+}
--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -23,7 +23,8 @@
 		c.redirect(now, p, m)
 		return
 	}
-	if f := c.flows.Get(p.Flow); f != nil && f.Phase >= flowtable.Offered {
+	f := c.flows.Get(p.Flow)
+	if f != nil && f.Phase >= flowtable.Offered && (f.Phase >= flowtable.Accepted || c.warmUpAllows(now, p.Flow)) {
 		c.deliverFirstPacket(now, p, m)
 		return
 	}
@@ -37,7 +38,10 @@
 		TargetLatency: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
 	}
 	upstreamLoad := c.upstreamLoad(now)
-	if c.waitQueue.Len() == 0 && admission.CanAdmit(now, e, upstreamLoad) {
+	if c.exceedsWarmUpLimit(now, p.Flow) && !c.waitsForTurn(now, e, p, upstreamLoad) {
+		return
+	}
+	if c.waitQueue.Len() == 0 && admission.CanAdmit(now, e, upstreamLoad) && c.warmUpAllows(now, p.Flow) {
 		c.deliverFirstPacket(now, p, m)
 		return
 	}
@@ -79,7 +83,7 @@
 // upstreamLoad returns the upstream's load for the wait queue.
 func (c *Core) upstreamLoad(now instant.Instant) admission.UpstreamLoad {
 	serviceTime := time.Duration(c.slowdown(now) * float64(c.flows.ServiceTime()))
-	return admission.UpstreamLoad{Slots: c.slots(), InSystem: c.flows.InSystem(now), ServiceTime: serviceTime}
+	return admission.UpstreamLoad{Slots: c.slots(), InSystem: c.flows.InSystem(now), ServiceTime: serviceTime, InOrder: c.warmUpLimit(now).IsSet()}
 }
 
 // slowdown returns how many times longer than usual requests take at the upstream now.
@@ -102,7 +106,7 @@
 	for _, e := range c.waitQueue.Expire(now) {
 		c.LogNotable("FlowGivenUp", "Flow", e.Flow, "Waited", now.Sub(e.ArrivedAt), "Waiting", c.waitQueue.Len())
 	}
-	for {
+	for c.warmUpLeft(now) != 0 {
 		e, ok := c.waitQueue.Next(now, c.upstreamLoad(now))
 		if !ok {
 			return
@@ -125,6 +129,9 @@
 func (c *Core) deliverFirstPacket(now instant.Instant, p flow.Packet, m *message.Carried) {
 	delete(c.disowned, p.Flow)
 	f := c.flows.RecordFirstPacket(now, p)
+	if c.warmUpRate > 0 {
+		c.warmUp.Record(now, p.Flow)
+	}
 	c.recordRoute(f, m)
 	f.Excluded, f.PlacedBy = m.Excluded, flow.IP(m.Home)
 	c.expectResponse(now, &c.upstream.openingPendingSince, &c.upstream.openingPending)
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -70,7 +70,7 @@
 		c.Counts.Overflowed++
 		return
 	}
-	c.redeliveryQueue = append(c.redeliveryQueue, redeliveryPacket{now, m.Packet})
+	c.redeliveryQueue = append(c.redeliveryQueue, redeliveryPacket{now, m})
 }
 
 // handleProbe sends a claim or a denial to the prober of a flow. If it is unknown whether the
@@ -188,6 +188,9 @@
 		return
 	}
 	f, newlyHeld := c.flows.RecordUpstreamPacket(now, p)
+	if !newlyHeld && !p.Flags.Has(flow.Syn) && f.StartedAt < c.upstream.awaySince {
+		c.upstream.mayHaveRestarted = false
+	}
 	c.Counts.Replied++
 	c.Emit(action.Action{Kind: action.Reply, Flow: p.Flow, Bytes: p.Bytes})
 	if newlyHeld {
@@ -240,7 +243,7 @@
 	c.Codec.RestoreBounced(p.Bytes)
 	p.Flags &^= flow.Bounced
 	f := c.flows.Get(p.Flow)
-	m := &message.Carried{Packet: p.Bytes, Service: c.Service, DataCentre: c.DataCentre}
+	m := &message.Carried{Packet: p.Bytes, Service: c.Service, DataCentre: c.DataCentre, WarmUpRate: float64(c.warmUpRate)}
 	if f != nil {
 		m.Balancer, m.DataCentre, m.Excluded, m.Home = uint32(f.Balancer), f.DataCentre, f.Excluded, uint32(f.PlacedBy)
 		m.Others, m.Unnamed, m.OthersIncomplete = f.OtherServices, f.UnnamedServices, f.OthersIncomplete
@@ -250,11 +253,13 @@
 		if f != nil {
 			c.flows.Delete(f)
 		}
+		c.warmUp.Forget(p.Flow)
 		c.LogNotable("FirstPacketBounced", "Flow", p.Flow, "Heard", now.Sub(c.upstream.lastHeard), "Beat", now.Sub(c.upstream.lastHeartbeat))
 		c.upstream.bouncesOpening = now.Sub(c.upstream.lastHeard) > bounceDownAfter
 		c.updateState(now)
 		c.redirect(now, p, m)
 	case f != nil && f.Phase == flowtable.Open:
+		c.recordAway(now)
 		c.flows.Delete(f)
 		c.sendHint(p.Flow, f.Balancer, 0)
 		c.resetFlow(p.Flow, p.AckSeq, "UpstreamLostFlow", "Age", now.Sub(f.StartedAt), "Requests", f.Requests)
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -58,7 +58,7 @@
 		if slices.Contains(m.Excluded, uint32(id)) {
 			return
 		}
-		cand := load.Candidate{Agent: id, Remote: dataCentre != m.DataCentre}
+		cand := load.Candidate{Agent: id, Remote: dataCentre != m.DataCentre, NoFlowsLeft: !c.loads.HasFlowsLeft(id)}
 		switch state {
 		case message.State_StateReady:
 			cand.Unconfirmed = !reporting
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -36,6 +36,7 @@
 	"github.com/jaytack/jaytack/internal/relay/lookup"
 	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
 // Protocol intervals and limits.
@@ -138,6 +139,8 @@
 	HeartbeatEvery time.Duration
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// WarmUp is what the upstream tolerates beyond the rate of its service while it is cold.
+	WarmUp warmup.Bounds
 }
 
 // Heartbeat is an upstream's report about itself.
@@ -160,13 +163,16 @@
 	// Reports, Announcements and ReportRequests count the messages about members, Probes
 	// those of searches, ListedDenials the denials with a list of members.
 	Reports, Announcements, ReportRequests, Probes, ListedDenials int64
+	// WarmUpWaited, WarmUpRedirected and WarmUpRefused count the flows over the warm-up limit
+	// by what became of them.
+	WarmUpWaited, WarmUpRedirected, WarmUpRefused int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
 // it may not have been listening at the first delivery.
 type redeliveryPacket struct {
 	deliveredAt instant.Instant
-	bytes       []byte
+	carried     *message.Carried
 }
 
 // upstreamState tracks the agent's own upstream.
@@ -186,6 +192,10 @@
 	openingPendingSince, dataPendingSince instant.Instant
 	openingPending, dataPending           bool
 	coldUntil                             instant.Instant
+	// mayHaveRestarted is set from a sign that the upstream was away, at awaySince, until its
+	// next heartbeat, which tells whether it is cold, or a packet on a flow that it held before.
+	mayHaveRestarted bool
+	awaySince        instant.Instant
 	// startedLater is set if the upstream certainly started after this process.
 	startedLater bool
 	hasLeft      bool
@@ -217,9 +227,14 @@
 	// OnWait is called with the time that a new flow spent in the wait queue.
 	OnWait func(time.Duration)
 
-	owners          *lookup.Table
-	flows           *flowtable.Table
-	waitQueue       *admission.Queue
+	owners    *lookup.Table
+	flows     *flowtable.Table
+	waitQueue *admission.Queue
+	// warmUp holds the first packets that the upstream got lately, warmUpRate the rate of its
+	// service in the last first packet seen. warmUpLimited is set while the limit applies.
+	warmUp          *warmup.Limiter
+	warmUpRate      warmup.Rate
+	warmUpLimited   bool
 	loads           *load.Tracker
 	upstream        upstreamState
 	sequence        uint64
@@ -262,7 +277,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
-		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(),
+		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(), warmUp: warmup.New(cfg.Started),
 	}
 	c.updateState(0)
 	return c
@@ -322,6 +337,9 @@
 		c.sendHint(p.Flow, flow.IP(m.Balancer), 0)
 		return
 	}
+	if p.OpensFlow() {
+		c.warmUpRate = warmup.Rate(m.WarmUpRate)
+	}
 	switch m.Step {
 	case message.Step_StepHome:
 		c.handleAsHome(now, p, m)
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -47,8 +47,9 @@
 	c.flows.SetSlots(c.slots())
 	c.upstream.lastHeartbeat, c.upstream.candidate = now, candidate{}
 	c.upstream.hasLeft, c.upstream.resetFlowsAt = false, 0
-	c.upstream.coldUntil = now.Add(h.ColdFor)
+	c.upstream.coldUntil, c.upstream.mayHaveRestarted = now.Add(h.ColdFor), false
 	if replaced {
+		c.warmUp.ForgetAll()
 		c.LogStateChange("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "Before", old.Upstream, "BornBefore", old.Born)
 		c.redeliverRequests(old.Born)
 	}
@@ -112,11 +113,12 @@
 		return
 	}
 	c.updateState(now)
+	c.warmUp.ForgetAll()
 	queue := c.redeliveryQueue
 	c.redeliveryQueue = nil
 	for _, m := range queue {
 		if now.Sub(m.deliveredAt) < flow.OpenTimeout {
-			c.Emit(action.Action{Kind: action.Deliver, Bytes: m.bytes})
+			c.redeliver(now, m)
 		}
 	}
 }
@@ -172,6 +174,9 @@
 		c.reportSoon(now)
 	}
 	c.state = s
+	if s == message.State_StateSilent || s == message.State_StateGone {
+		c.recordAway(now)
+	}
 	c.homesChanged = true
 	if s == message.State_StateGone {
 		c.finishDeniedSearches(now)
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -22,7 +22,7 @@
 		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, FlowLifetime: flow.DefaultLifetime})
 	} else {
 		tick = serving.TickInterval
-		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime})
+		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime, WarmUp: w.WarmUp})
 		if w.Sample != nil {
 			p.Agent.Sample = w.Sample
 		}
@@ -58,7 +58,18 @@
 }
 
 func (w *World) applyConfiguration(p *Process) {
-	p.Balancer.ApplyConfiguration(w.now, &routes.Configuration{Version: w.configurationVersion, Routes: slices.Clone(w.Routes)}, "Read")
+	p.Balancer.ApplyConfiguration(w.now, &routes.Configuration{Version: w.configurationVersion, Routes: slices.Clone(w.Routes), Services: w.warmUpServices()}, "Read")
+}
+
+// warmUpServices lists the services with a warm-up limit, as the configuration does.
+func (w *World) warmUpServices() []routes.Service {
+	var out []routes.Service
+	for _, s := range w.Services {
+		if rate := w.WarmUpRates[s.Name]; rate > 0 {
+			out = append(out, routes.Service{Name: s.Name, WarmUpTime: warmUpTime, WarmUpRate: rate})
+		}
+	}
+	return out
 }
 
 // Stop announces the planned stop of a process, which goes on until it is killed.
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -6,7 +6,8 @@
 // with delays, losses and partitions. A run depends on its configuration and seed only.
 //
 // The simulation checks that no flow is reset while it is open at a running
-// upstream, and that no upstream gets a packet for another service.
+// upstream, that no upstream gets a packet for another service, and that no cold upstream gets
+// more first packets within any second than its warm-up limit allows.
 //
 // # Usage
 //
@@ -30,6 +31,7 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/routes"
 	"github.com/jaytack/jaytack/internal/relay/serving"
+	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
 // Intervals and limits of the simulated environment.
@@ -80,6 +82,11 @@
 	// MaxReadDelay is the longest time by which a balancer that starts reads its members later
 	// than its configuration.
 	MaxReadDelay time.Duration
+	// WarmUpRates holds the numbers of new flows a second that cold upstreams take, by service.
+	// WarmUp bounds the first packets that such an upstream may get in any second; more are a
+	// violation.
+	WarmUpRates map[string]warmup.Rate
+	WarmUp      warmup.Bounds
 	// Trace, if set, is called with each decision of a process.
 	Trace func(at time.Duration, process flow.IP, event string, pairs []any)
 }
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -48,17 +48,23 @@
 	ClockAhead        time.Duration
 	born              int64
 	heartbeatSequence int64
-	starts            int
-	busySlots         int
-	queued            []upstreamRequest
+	// HeartbeatsLostUntil is when heartbeats begin to arrive again.
+	HeartbeatsLostUntil instant.Instant
+	starts              int
+	busySlots           int
+	queued              []upstreamRequest
 	// ResetsUnknown makes the upstream answer packets of unknown flows with a reset,
 	// as after the end of a flow.
 	ResetsUnknown bool
 	// Ran counts requests that started to run, Shed those that were rejected.
 	Ran, Shed int
 	// SynsReceived counts SYN packets, retransmissions included.
-	SynsReceived    int
-	startedRequests map[uint32]bool
+	SynsReceived int
+	// MostFirstPackets is the largest number of first packets of new flows that arrived within a
+	// second while the upstream was cold; firstPackets holds when those of the last second did.
+	MostFirstPackets int
+	firstPackets     []instant.Instant
+	startedRequests  map[uint32]bool
 	// answered holds the requests whose answer has been sent.
 	answered map[uint32]bool
 }
@@ -72,7 +78,7 @@
 	u.starts++
 	u.alive, u.bouncesPackets, u.draining, u.startedAt, u.heartbeatSequence = true, false, false, u.w.now, 0
 	u.born = (u.w.Now() + u.ClockAhead).Milliseconds()
-	u.flows, u.busySlots, u.queued = make(map[flow.ID]*upstreamFlow), 0, nil
+	u.flows, u.busySlots, u.queued, u.firstPackets = make(map[flow.ID]*upstreamFlow), 0, nil, nil
 	start := u.starts
 	u.w.after(firstHeartbeatDelay, func() { u.heartbeatLoop(start) })
 }
@@ -129,6 +135,9 @@
 }
 
 func (u *Upstream) sendHeartbeat(h serving.Heartbeat) {
+	if u.w.now < u.HeartbeatsLostUntil {
+		return
+	}
 	u.w.dispatch(u.p, func() {
 		if u.p.Agent != nil {
 			u.p.Agent.HandleHeartbeat(u.w.now, h)
@@ -169,6 +178,7 @@
 	if h.Flags.Has(flow.Syn) {
 		u.SynsReceived++
 		if f == nil {
+			u.checkWarmUp()
 			f = &upstreamFlow{sequence: u.w.Random.Uint32()}
 			u.flows[id] = f
 		}
@@ -200,6 +210,26 @@
 	}
 }
 
+// isCold reports whether the upstream is slow after its start.
+func (u *Upstream) isCold() bool { return u.w.now.Sub(u.startedAt) < warmUpTime }
+
+// checkWarmUp records the first packet of a new flow, and a violation if the cold upstream has
+// got too many within a second.
+func (u *Upstream) checkWarmUp() {
+	rate := u.w.WarmUpRates[u.Name]
+	if rate == 0 || !u.isCold() {
+		return
+	}
+	u.firstPackets = append(u.firstPackets, u.w.now)
+	for u.w.now.Sub(u.firstPackets[0]) > time.Second {
+		u.firstPackets = u.firstPackets[1:]
+	}
+	u.MostFirstPackets = max(u.MostFirstPackets, len(u.firstPackets))
+	if most := u.w.WarmUp.Overage*float64(rate) + u.w.WarmUp.Slack; float64(len(u.firstPackets)) > most {
+		u.w.addViolation("cold upstream of %v got %d first packets within a second, more than %v", u.p.IP, len(u.firstPackets), most)
+	}
+}
+
 // bounce returns a packet to the agent, marked as bounced.
 func (u *Upstream) bounce(h header, b []byte) {
 	h.Flags |= flow.Bounced
@@ -228,7 +258,7 @@
 	u.busySlots++
 	u.startedRequests[j.request] = true
 	u.Ran++
-	if u.w.now.Sub(u.startedAt) < warmUpTime {
+	if u.isCold() {
 		j.serviceTime = time.Duration(float64(j.serviceTime) * warmUpSlowdown)
 	}
 	start := u.starts
