Describe warm-up limits and test the signs of a restart

Placement copies the candidates only if one has no flows left.

Result: the new tests pass, and fail in trials without these rules or without the limit on redelivered packets.

--- a/internal/relay/explanation/explanation.go
+++ b/internal/relay/explanation/explanation.go
@@ -37,6 +37,7 @@
 var causes = map[string]string{
 	"NoRoute":              "The configuration in force had no such address. The request has not run. See Version, and ConfigurationApplied for when it changed.",
 	"NoAgent":              "The service had no agents. The request has not run.",
+	"WarmUpLimit":          "The upstream was cold and took no further new flow before the caller gave up, and no other had flows left. The request has not run. See FlowOverWarmUpLimit for the limit and its inputs.",
 	"UpstreamFull":         "More flows waited than could have their turn before callers give up. The request has not run. See what took the capacity: upstreams that started, drained or fell silent before.",
 	"NoUpstreamTakesFlows": "No upstream of the service took new flows. The request has not run. See UpstreamStateChanged of its agents.",
 	"UpstreamLostFlow":     "The upstream no longer held the flow: it had restarted. Whether the request ran is not known.",
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -92,8 +92,11 @@
 	if len(available) == 0 {
 		available = candidates
 	}
-	if withFlowsLeft := slices.DeleteFunc(slices.Clone(available), func(c Candidate) bool { return c.NoFlowsLeft }); len(withFlowsLeft) > 0 {
-		available = withFlowsLeft
+	hasNoFlowsLeft := func(c Candidate) bool { return c.NoFlowsLeft }
+	if slices.ContainsFunc(available, hasNoFlowsLeft) {
+		if rest := slices.DeleteFunc(slices.Clone(available), hasNoFlowsLeft); len(rest) > 0 {
+			available = rest
+		}
 	}
 	if len(available) <= localSampleSize+remoteSampleSize {
 		return available
--- a/internal/standin/relay/warmup_test.go
+++ b/internal/standin/relay/warmup_test.go
@@ -165,6 +165,56 @@
 	}
 }
 
+// TestSignsOfARestartLimitFlows guards against an agent that goes by the last heartbeat of the warm
+// upstream: a lone upstream is away for a while and then cold, and its heartbeats get lost.
+func TestSignsOfARestartLimitFlows(t *testing.T) {
+	const downtime = 600 * time.Millisecond
+	for _, visible := range []bool{false, true} {
+		t.Run(fmt.Sprint(visible), func(t *testing.T) {
+			cfg := limitedFleet(1)
+			cfg.Callers = nil
+			cfg.Services[0].Upstreams = 1
+			w := New(cfg)
+			p := w.Agents[0]
+			w.At(5*time.Second, func() {
+				w.restartUpstream(p, downtime)
+				p.Upstream.bouncesPackets = visible
+				p.Upstream.HeartbeatsLostUntil = w.now.Add(downtime + 1500*time.Millisecond)
+			})
+			for i := range 300 {
+				w.At(5*time.Second+time.Duration(i)*10*time.Millisecond, func() {
+					id := flow.ID{Caller: flow.Endpoint{IP: 0x64410000, Port: uint16(2000 + i)}, Address: Address(0)}
+					m := place(header{Source: id.Caller, Destination: id.Address, Flags: flow.Syn}.packet(0), p)
+					m.GetCarried().WarmUpRate, m.GetCarried().Balancer = warmUpRate, uint32(w.Balancers[0].IP)
+					w.dispatch(p, func() { p.Agent.HandleMessage(w.now, w.Balancers[0].IP, m) })
+				})
+			}
+			w.Run(8 * time.Second)
+			qt.Assert(t, w.Violations, qt.HasLen, 0)
+			t.Logf("most first packets %d", p.Upstream.MostFirstPackets)
+			qt.Assert(t, p.Upstream.MostFirstPackets > 0, qt.IsTrue)
+		})
+	}
+}
+
+// TestOverdueHeartbeatsLimitFlows guards against an agent that takes its upstream for warm for long
+// after the last heartbeat, and against a limit that stays once heartbeats come again.
+func TestOverdueHeartbeatsLimitFlows(t *testing.T) {
+	cfg := limitedFleet(1)
+	w := New(cfg)
+	p := w.Agents[0]
+	limited := func(at time.Duration, want bool) {
+		w.At(at, func() { qt.Check(t, p.Agent.FlowsLeft(w.now) >= 0, qt.Equals, want, qt.Commentf("at %v", at)) })
+	}
+	w.At(5*time.Second, func() { p.Upstream.HeartbeatsLostUntil = w.now.Add(3 * time.Second) })
+	limited(5*time.Second, false)
+	limited(5*time.Second+heartbeatInterval*3/2, true)
+	limited(8*time.Second, true)
+	limited(8*time.Second+heartbeatInterval, false)
+	w.Run(10 * time.Second)
+	qt.Assert(t, w.Violations, qt.HasLen, 0)
+}
+
 // TestClocksStepInTheWarmUp guards against limits that depend on the time of day: upstreams start
 // again with a start time in the past or the future.
 func TestClocksStepInTheWarmUp(t *testing.T) {
