--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -243,6 +243,7 @@
 	}
 	if p.OpensFlow() {
 		m.Evacuations = c.evacuations.Message()
+		m.WarmUpRate = float64(c.Routes.WarmUpRate(service))
 	} else {
 		c.setOtherServices(now, m, r)
 	}
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -63,7 +63,7 @@
 		if slices.Contains(m.Excluded, uint32(id)) || c.evacuations.Contains(dataCentre) {
 			return
 		}
-		cand := load.Candidate{Agent: id, Remote: dataCentre != local}
+		cand := load.Candidate{Agent: id, Remote: dataCentre != local, NoFlowsLeft: !c.loads.HasFlowsLeft(id)}
 		switch state {
 		case message.State_StateReady:
 			cand.Unconfirmed = !reporting
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -37,6 +37,7 @@
 	"github.com/jaytack/jaytack/internal/relay/lookup"
 	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
 // Protocol intervals and limits.
@@ -139,6 +140,8 @@
 	HeartbeatEvery time.Duration
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// WarmUp is what the upstream tolerates beyond the rate of its service while it is cold.
+	WarmUp warmup.Bounds
 }
 
 // Heartbeat is an upstream's report about itself.
@@ -165,13 +168,16 @@
 	// new flows that were forwarded since this data centre is evacuated, PassedOn those that
 	// another agent places for it.
 	EvacuationChanges, Evacuated, PassedOn int64
+	// WarmUpWaited, WarmUpRedirected and WarmUpRefused count the flows over the warm-up limit
+	// by what became of them.
+	WarmUpWaited, WarmUpRedirected, WarmUpRefused int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
 // it may not have been listening at the first delivery.
 type redeliveryPacket struct {
 	deliveredAt instant.Instant
-	bytes       []byte
+	carried     *message.Carried
 }
 
 // upstreamState tracks the agent's own upstream.
@@ -191,6 +197,10 @@
 	openingPendingSince, dataPendingSince instant.Instant
 	openingPending, dataPending           bool
 	coldUntil                             instant.Instant
+	// mayHaveRestarted is set from a sign that the upstream was away, at awaySince, until its
+	// next heartbeat, which tells whether it is cold, or a packet on a flow that it held before.
+	mayHaveRestarted bool
+	awaySince        instant.Instant
 	// startedLater is set if the upstream certainly started after this process.
 	startedLater bool
 	hasLeft      bool
@@ -222,9 +232,14 @@
 	// OnWait is called with the time that a new flow spent in the wait queue.
 	OnWait func(time.Duration)
 
-	owners          *lookup.Table
-	flows           *flowtable.Table
-	waitQueue       *admission.Queue
+	owners    *lookup.Table
+	flows     *flowtable.Table
+	waitQueue *admission.Queue
+	// warmUp holds the first packets that the upstream got lately, warmUpRate the rate of its
+	// service in the last first packet seen. warmUpLimited is set while the limit applies.
+	warmUp          *warmup.Limiter
+	warmUpRate      warmup.Rate
+	warmUpLimited   bool
 	loads           *load.Tracker
 	evacuations     evacuation.Table
 	upstream        upstreamState
@@ -268,7 +283,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
-		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(),
+		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(), warmUp: warmup.New(cfg.Started),
 	}
 	c.updateState(0)
 	return c
@@ -329,6 +344,9 @@
 		return
 	}
 	c.exchangeEvacuations(now, from, p, m)
+	if p.OpensFlow() {
+		c.warmUpRate = warmup.Rate(m.WarmUpRate)
+	}
 	switch m.Step {
 	case message.Step_StepHome:
 		c.handleAsHome(now, p, m)
--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
 // Settings holds the settings of a balancer or agent.
@@ -48,6 +50,8 @@
 	EvacuateWithin time.Duration
 	// DataCentres names all data centres, none if they are not known.
 	DataCentres Names
+	// WarmUp is what cold upstreams tolerate beyond the rate of their service.
+	WarmUp warmup.Bounds
 }
 
 // Names is a list of names. Unlike a slice it can be compared with ==.
