--- a/core_test.go
+++ b/core_test.go
@@ -18,7 +18,7 @@
 	"internal/flow/connid", "internal/flow/placement", "internal/flow/routing", "internal/flow/tunnel",
 	"internal/clock/instant", "internal/request/admission", "internal/request/handover", "internal/request/idempotency",
 	"internal/request/outcome",
-	"internal/relay/lookup", "internal/relay/flow", "internal/relay/forwarding", "internal/relay/load",
+	"internal/relay/lookup", "internal/relay/flow", "internal/relay/forwarding", "internal/relay/load", "internal/relay/locality",
 	"internal/relay/flowtable", "internal/relay/membership", "internal/relay/routes", "internal/relay/serving", "internal/relay/action", "internal/relay/admission",
 }
 
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -73,6 +73,9 @@
 	Agent flow.IP
 	// Remote is set if the agent is not in the caller's data centre.
 	Remote bool
+	// Distance is the cost of the round trip to a remote agent, in request durations,
+	// remoteCost if 0.
+	Distance float64
 	// Unconfirmed is set if the agent has not confirmed that its upstream is ready,
 	// LikelyDown if that confirmation is overdue.
 	Unconfirmed, LikelyDown bool
@@ -140,6 +143,20 @@
 // AddPlacement counts a flow placed at an agent since its last report.
 func (t *Tracker) AddPlacement(a flow.IP) { t.getOrCreate(a).placedSinceReport++ }
 
+// Demand returns an agent's slots, of which a cold upstream uses fewer than it has, its
+// requests with the flows placed there since its last report.
+func (t *Tracker) Demand(a flow.IP) (slots, requests float64) {
+	e := t.getOrCreate(a)
+	slots = float64(e.Slots)
+	if e.Slots == 0 {
+		slots = defaultSlots
+	}
+	if e.Cold {
+		slots /= ColdFactor
+	}
+	return slots, float64(e.Busy + e.placedSinceReport)
+}
+
 // Cost returns the expected wait at an agent, in request durations of its upstream.
 func (t *Tracker) Cost(c Candidate) float64 {
 	e := t.getOrCreate(c.Agent)
@@ -147,8 +164,11 @@
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	cost := expectedWait((float64(e.Busy+e.placedSinceReport) + idleFlowCost*float64(e.Idle)) / float64(slots))
-	if c.Remote {
+	cost := ExpectedWait((float64(e.Busy+e.placedSinceReport) + idleFlowCost*float64(e.Idle)) / float64(slots))
+	switch {
+	case c.Remote && c.Distance > 0:
+		cost += c.Distance
+	case c.Remote:
 		cost += remoteCost
 	}
 	if c.Unconfirmed {
@@ -163,10 +183,10 @@
 	return cost
 }
 
-// expectedWait returns the expected wait in request durations. Below one request per
+// ExpectedWait returns the expected wait in request durations. Below one request per
 // slot it grows slowly, since a request waits only if others arrive at the same time;
 // above that it grows linearly with the queue.
-func expectedWait(requestsPerSlot float64) float64 {
+func ExpectedWait(requestsPerSlot float64) float64 {
 	if requestsPerSlot < 1 {
 		return requestsPerSlot * requestsPerSlot
 	}
--- a/internal/relay/load/load_test.go
+++ b/internal/relay/load/load_test.go
@@ -82,3 +82,21 @@
 		qt.Assert(t, n <= 8, qt.IsTrue, qt.Commentf("%v gets %d of %d", a, n, homes))
 	}
 }
+
+// TestDistance guards against remote agents that cost more or less than their distance, or
+// other than before if it is not known.
+func TestDistance(t *testing.T) {
+	tracker := load.New()
+	tracker.Update(1, load.Report{Slots: 4, Busy: 2})
+	for _, test := range []struct {
+		candidate load.Candidate
+		want      float64
+	}{
+		{load.Candidate{Agent: 1}, 0.25},
+		{load.Candidate{Agent: 1, Distance: 0.5}, 0.25},
+		{load.Candidate{Agent: 1, Remote: true}, 0.4},
+		{load.Candidate{Agent: 1, Remote: true, Distance: 0.5}, 0.75},
+	} {
+		qt.Check(t, tracker.Cost(test.candidate), qt.Equals, test.want, qt.Commentf("%+v", test.candidate))
+	}
+}
