Let new flows leave their data centre only while that pays

Change: if `contracts` in the settings contains `places`, a home asks a balancer of each other data centre once a second for a report and takes the median of the last five times as the round trip. Each tick it updates the shares of package locality. A remote candidate takes part for flows below the share of its data centre, at the cost of the round trip; for flows that a local agent has turned down; and for all if no local candidate takes flows. Answers come from balancers, since a regular report of an agent may cross the request. Log line LeavingShareChanged, metrics Locality, Serving.PlacedLocally, PlacedRemotely.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -70,6 +70,7 @@
 		core: serving.New(serving.Config{
 			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
 			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime,
+			CrossDataCentreCost: s.CrossDataCentreCost,
 		}),
 	}
 	// The lock holds back messages that arrive before the agent is complete.
@@ -240,6 +241,11 @@
 		defer a.mu.Unlock()
 		return a.core.Counts
 	})
+	a.Metrics.Func("Locality", func() any {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.core.Locality(a.Now())
+	})
 	a.Metrics.Func("Tables", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -47,6 +47,9 @@
 		c.updateAudience(now)
 		c.newReporter(now).send(from)
 	}
+	if r.Service == "" {
+		c.recordRoundTrip(now, from, r.DataCentre)
+	}
 	if !c.Members.ApplyReport(now, r, time.Duration(report.IntervalMillis)*time.Millisecond) {
 		return
 	}
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -33,13 +33,14 @@
 
 // place selects the agent for a new flow and forwards the first packet to it.
 func (c *Core) place(now instant.Instant, p flow.Packet, m *message.Carried) {
-	candidates := c.Sample(p.Flow.Hash(), c.candidates(now, m))
+	candidates := c.Sample(p.Flow.Hash(), c.localise(now, p.Flow.Hash(), m, c.candidates(now, m)))
 	to, ok := c.loads.Choose(candidates)
 	if !ok || len(m.Excluded) >= maxPlacements {
 		c.refuse(now, p, m, "NoUpstreamTakesFlows")
 		return
 	}
 	c.Counts.Placed++
+	c.countPlacement(slices.ContainsFunc(candidates, func(x load.Candidate) bool { return x.Agent == to && x.Remote }))
 	m.Home = uint32(c.Self)
 	c.loads.AddPlacement(to)
 	c.owners.SetOwner(now, p.Flow, to)
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -32,6 +32,7 @@
 	}
 	c.admitQueued(now)
 	c.updateOwnLoad(now)
+	c.updateLocality(now)
 	if now >= c.nextExpiry {
 		c.nextExpiry = now.Add(expiryInterval)
 		c.expire(now)
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -33,6 +33,7 @@
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
 	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/locality"
 	"github.com/jaytack/jaytack/internal/relay/lookup"
 	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
@@ -138,6 +139,9 @@
 	HeartbeatEvery time.Duration
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// CrossDataCentreCost is set if traffic between data centres has a price, so that new
+	// flows leave theirs only while that pays.
+	CrossDataCentreCost bool
 }
 
 // Heartbeat is an upstream's report about itself.
@@ -160,6 +164,8 @@
 	// Reports, Announcements and ReportRequests count the messages about members, Probes
 	// those of searches, ListedDenials the denials with a list of members.
 	Reports, Announcements, ReportRequests, Probes, ListedDenials int64
+	// PlacedLocally and PlacedRemotely count the flows placed by where the upstream is.
+	PlacedLocally, PlacedRemotely int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
@@ -221,6 +227,8 @@
 	flows           *flowtable.Table
 	waitQueue       *admission.Queue
 	loads           *load.Tracker
+	locality        *locality.Controller
+	roundTrips      roundTrips
 	upstream        upstreamState
 	sequence        uint64
 	state           message.State
@@ -262,7 +270,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
-		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(),
+		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), locality: locality.New(), roundTrips: make(roundTrips), waitQueue: admission.New(),
 	}
 	c.updateState(0)
 	return c
--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -42,6 +42,9 @@
 	HeartbeatEvery time.Duration
 	// FlowLifetime is how long a flow may stay open.
 	FlowLifetime time.Duration
+	// CrossDataCentreCost is set if traffic between data centres has a price, so that new
+	// flows leave theirs only while that pays.
+	CrossDataCentreCost bool
 }
 
 // AddAgentProblems adds a problem for each missing setting that an agent requires.
