Replay load patterns under which flows leave their data centre

Cause: whether leaving pays shows only in a whole fleet, since demand is pinned to open flows and loads are known late.

Change: the simulation gets a fleet of four data centres with flows of limited life, demand by data centre, extra delays between instances and a count of the requests that run in another data centre.

--- a/internal/relay/locality/locality_test.go
+++ b/internal/relay/locality/locality_test.go
@@ -66,6 +66,12 @@
 			}
 			return inputs(0.6, 0.6, 300*time.Millisecond)
 		}},
+		{"ShortEveryOtherSecond", func(at time.Duration) locality.Inputs {
+			if at/time.Second%2 == 1 {
+				return inputs(4, 0.6, 300*time.Millisecond)
+			}
+			return inputs(0.6, 0.6, 300*time.Millisecond)
+		}},
 		{"AllLocalUpstreamsEnd", func(at time.Duration) locality.Inputs {
 			in := inputs(0.6, 0.6, 300*time.Millisecond)
 			if at >= time.Second && at < 3*time.Second {
--- a/internal/standin/relay/caller.go
+++ b/internal/standin/relay/caller.go
@@ -33,7 +33,9 @@
 	// Pause is the time between the opening of a flow and the first request on it.
 	Pause time.Duration
 	// Persistent callers send many requests over one flow.
-	Persistent       bool
+	Persistent bool
+	// FlowLifetime, if set, is the mean time after which persistent callers end a flow.
+	FlowLifetime     time.Duration
 	Idempotent       bool
 	ServiceTime      time.Duration
 	Aim, Deadline    time.Duration
@@ -49,6 +51,8 @@
 	Latency time.Duration
 	// Outcome is the outcome of the last attempt.
 	Outcome string
+	// DataCentre is that of the caller.
+	DataCentre string
 }
 
 // Credit returns the earned share of the request's value, from 0 to 1.
@@ -81,9 +85,11 @@
 	// seq is the sequence number of the next request.
 	seq, ack, request      uint32
 	createdAt, requestedAt instant.Instant
-	retriesLeft            int
-	firstAttemptAt         instant.Instant
-	awaitingAnswer         bool
+	// endsAt is when the flow ends after an answer, 0 for never.
+	endsAt         instant.Instant
+	retriesLeft    int
+	firstAttemptAt instant.Instant
+	awaitingAnswer bool
 }
 
 // Service times are log-normal around that of the kind; stragglers take longer by a factor.
@@ -147,6 +153,9 @@
 // while another request is in progress.
 func (u *caller) scheduleRequests() {
 	rate := u.kind.Rate(u.w.Now())
+	if u.w.Demand != nil {
+		rate *= u.w.Demand(u.dc, u.w.Now())
+	}
 	pause := time.Duration(u.w.Random.ExpFloat64() / rate * float64(time.Second))
 	u.w.after(pause, func() {
 		if !u.busy {
@@ -169,6 +178,9 @@
 		caller: u, id: flow.ID{Caller: flow.Endpoint{IP: u.ip, Port: u.port}, Address: Address(u.kind.Service)},
 		seq: u.w.Random.Uint32(), createdAt: u.w.now, firstAttemptAt: firstAttemptAt, retriesLeft: retries,
 	}
+	if l := u.kind.FlowLifetime; l > 0 {
+		t.endsAt = u.w.now.Add(time.Duration(u.w.Random.ExpFloat64() * float64(l)))
+	}
 	u.flow = t
 	u.w.callerFlows[t.id.Caller] = t
 	t.sendSyn(0)
@@ -258,8 +270,8 @@
 	t.seq += requestLen
 	u := t.caller
 	u.busy = false
-	u.w.Results = append(u.w.Results, Result{u.kind, time.Duration(t.firstAttemptAt), latency, outcome})
-	if !u.kind.Persistent || outcome != "Answered" {
+	u.w.Results = append(u.w.Results, Result{u.kind, time.Duration(t.firstAttemptAt), latency, outcome, u.dc})
+	if !u.kind.Persistent || t.endsAt != 0 && u.w.now >= t.endsAt || outcome != "Answered" {
 		t.closeFlow()
 	}
 }
--- a/internal/standin/relay/fleets.go
+++ b/internal/standin/relay/fleets.go
@@ -67,6 +67,20 @@
 	return cfg
 }
 
+// Viveros returns a fleet of four data centres with small upstreams, most of whose requests
+// come on flows that stay open for seconds.
+func Viveros(seed uint64) Config {
+	cfg := Registro(seed)
+	cfg.DataCentres, cfg.Balancers, cfg.CrossDataCentreDelay = 4, 20, 3*time.Millisecond
+	cfg.Services = []Service{{"libro-stock", 40, 2, 8}, {"catalogo", 12, 2, 8}}
+	cfg.Callers = []Kind{
+		{Name: "ShelfRead", Service: 0, Callers: 284, Rate: constantRate(1), Persistent: true, FlowLifetime: 15 * time.Second, Idempotent: true, ServiceTime: 22 * time.Millisecond, Aim: 200 * time.Millisecond, Deadline: 1500 * time.Millisecond, Value: 1, LateValue: 0.3, Retries: 2},
+		{Name: "SalePost", Service: 0, Callers: 81, Rate: constantRate(1), Persistent: true, FlowLifetime: 15 * time.Second, ServiceTime: 29 * time.Millisecond, Aim: 250 * time.Millisecond, Deadline: 2 * time.Second, Value: 2, LateValue: 0.6, Retries: 2},
+		{Name: "FotoLote", Service: 1, Callers: 30, Rate: constantRate(0.8), Idempotent: true, ServiceTime: 5 * time.Millisecond, Aim: 800 * time.Millisecond, Deadline: 6 * time.Second, Value: 1, LateValue: 0.3, Retries: 2},
+	}
+	return cfg
+}
+
 // Scale multiplies the request rates of all kinds by a factor.
 func (cfg *Config) Scale(factor float64) {
 	for i := range cfg.Callers {
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -22,7 +22,7 @@
 		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, FlowLifetime: flow.DefaultLifetime})
 	} else {
 		tick = serving.TickInterval
-		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime})
+		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime, CrossDataCentreCost: w.CrossDataCentreCost})
 		if w.Sample != nil {
 			p.Agent.Sample = w.Sample
 		}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -72,11 +72,15 @@
 	// SameDataCentreDelay, CrossDataCentreDelay and CallerDelay are one-way delays: within
 	// a data centre, between two, and to or from callers. Up to a quarter is added at random.
 	SameDataCentreDelay, CrossDataCentreDelay, CallerDelay time.Duration
+	// Demand, if set, multiplies the request rates of a data centre.
+	Demand func(dataCentre string, at time.Duration) float64
 	// LossPerMille is the number of datagrams lost per thousand.
 	LossPerMille int
 	// Sample selects the candidates considered for a new flow. If nil, agents select
 	// them as the daemons do.
 	Sample func(hash uint64, candidates []load.Candidate) []load.Candidate
+	// CrossDataCentreCost makes new flows leave their data centre only while that pays.
+	CrossDataCentreCost bool
 	// MaxReadDelay is the longest time by which a balancer that starts reads its members later
 	// than its configuration.
 	MaxReadDelay time.Duration
@@ -117,6 +121,8 @@
 	Routes    []routes.Route
 	// Cut reports whether the network drops everything between two instances.
 	Cut func(from, to flow.IP) bool
+	// ExtraDelay, if set, is added to the delay between two instances.
+	ExtraDelay func(from, to flow.IP) time.Duration
 	// ReportStrays makes packets of open flows that reach other upstreams only a violation.
 	ReportStrays bool
 	// StoreDown makes the store unavailable. StoreRefuses reports whether it turns an
@@ -309,5 +315,9 @@
 	case a.DataCentre != b.DataCentre:
 		d = w.CrossDataCentreDelay
 	}
-	return d + time.Duration(w.Random.Int64N(int64(d)/4+1))
+	d += time.Duration(w.Random.Int64N(int64(d)/4 + 1))
+	if w.ExtraDelay != nil {
+		d += w.ExtraDelay(from, to)
+	}
+	return d
 }
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -56,6 +56,8 @@
 	ResetsUnknown bool
 	// Ran counts requests that started to run, Shed those that were rejected.
 	Ran, Shed int
+	// RanRemotely counts those of Ran whose caller is in another data centre.
+	RanRemotely int
 	// SynsReceived counts SYN packets, retransmissions included.
 	SynsReceived    int
 	startedRequests map[uint32]bool
@@ -228,6 +230,9 @@
 	u.busySlots++
 	u.startedRequests[j.request] = true
 	u.Ran++
+	if t := u.w.callerFlows[j.id.Caller]; t != nil && t.caller.dc != u.p.DataCentre {
+		u.RanRemotely++
+	}
 	if u.w.now.Sub(u.startedAt) < warmUpTime {
 		j.serviceTime = time.Duration(float64(j.serviceTime) * warmUpSlowdown)
 	}
