--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -69,7 +69,8 @@
 		Process: p, upstreamConn: upstreamConn, done: make(chan struct{}),
 		core: serving.New(serving.Config{
 			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
-			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime, WarmUp: s.WarmUp,
+			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime,
+			WarmUp: s.WarmUp, CrossDataCentreCost: s.CrossDataCentreCost,
 		}),
 	}
 	// The lock holds back messages that arrive before the agent is complete.
@@ -248,6 +249,11 @@
 			return map[string]any{"Known": known, "DataCentres": set.Names(), "Era": set.Era, "Revision": set.Revision}
 		})
 	}
+	a.Metrics.Func("Locality", func() any {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.core.Locality(a.Now())
+	})
 	a.Metrics.Func("Tables", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -76,6 +76,9 @@
 	Agent flow.IP
 	// Remote is set if the agent is not in the caller's data centre.
 	Remote bool
+	// Distance is the cost of the round trip to a remote agent, in request durations,
+	// remoteCost if 0.
+	Distance float64
 	// Unconfirmed is set if the agent has not confirmed that its upstream is ready,
 	// LikelyDown if that confirmation is overdue.
 	Unconfirmed, LikelyDown bool
@@ -159,6 +162,20 @@
 	return e == nil || e.FlowsLeft == 0 || e.FlowsLeft-1 > e.placedSinceReport
 }
 
+// Demand returns an agent's slots, of which a cold upstream uses fewer than it has, its
+// requests with the flows placed there since its last report.
+func (t *Tracker) Demand(a flow.IP) (slots, requests float64) {
+	e := t.getOrCreate(a)
+	slots = float64(e.Slots)
+	if e.Slots == 0 {
+		slots = defaultSlots
+	}
+	if e.Cold {
+		slots /= ColdFactor
+	}
+	return slots, float64(e.Busy + e.placedSinceReport)
+}
+
 // Cost returns the expected wait at an agent, in request durations of its upstream.
 func (t *Tracker) Cost(c Candidate) float64 {
 	e := t.getOrCreate(c.Agent)
@@ -166,8 +183,11 @@
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	cost := expectedWait((float64(e.Busy+e.placedSinceReport) + idleFlowCost*float64(e.Idle)) / float64(slots))
-	if c.Remote {
+	cost := ExpectedWait((float64(e.Busy+e.placedSinceReport) + idleFlowCost*float64(e.Idle)) / float64(slots))
+	switch {
+	case c.Remote && c.Distance > 0:
+		cost += c.Distance
+	case c.Remote:
 		cost += remoteCost
 	}
 	if c.Unconfirmed {
@@ -182,10 +202,10 @@
 	return cost
 }
 
-// expectedWait returns the expected wait in request durations. Below one request per
+// ExpectedWait returns the expected wait in request durations. Below one request per
 // slot it grows slowly, since a request waits only if others arrive at the same time;
 // above that it grows linearly with the queue.
-func expectedWait(requestsPerSlot float64) float64 {
+func ExpectedWait(requestsPerSlot float64) float64 {
 	if requestsPerSlot < 1 {
 		return requestsPerSlot * requestsPerSlot
 	}
--- a/internal/relay/load/load_test.go
+++ b/internal/relay/load/load_test.go
@@ -102,3 +102,21 @@
 	// With no flows left anywhere the agent decides whether the flow waits.
 	qt.Assert(t, load.Sample(7, candidates[:1]), qt.HasLen, 1)
 }
+
+// TestDistance guards against remote agents that cost more or less than their distance, or
+// other than before if it is not known.
+func TestDistance(t *testing.T) {
+	tracker := load.New()
+	tracker.Update(1, load.Report{Slots: 4, Busy: 2})
+	for _, test := range []struct {
+		candidate load.Candidate
+		want      float64
+	}{
+		{load.Candidate{Agent: 1}, 0.25},
+		{load.Candidate{Agent: 1, Distance: 0.5}, 0.25},
+		{load.Candidate{Agent: 1, Remote: true}, 0.4},
+		{load.Candidate{Agent: 1, Remote: true, Distance: 0.5}, 0.75},
+	} {
+		qt.Check(t, tracker.Cost(test.candidate), qt.Equals, test.want, qt.Commentf("%+v", test.candidate))
+	}
+}
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -49,6 +49,7 @@
 	}
 	if r.Service == "" {
 		c.mergeEvacuations(now, from, report.Evacuations)
+		c.recordRoundTrip(now, from, r.DataCentre)
 	}
 	if !c.Members.ApplyReport(now, r, time.Duration(report.IntervalMillis)*time.Millisecond) {
 		return
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -37,13 +37,14 @@
 	if c.delegatePlacement(now, p, m, all) {
 		return
 	}
-	candidates := c.Sample(p.Flow.Hash(), all)
+	candidates := c.Sample(p.Flow.Hash(), c.localise(now, p.Flow.Hash(), m, all))
 	to, ok := c.loads.Choose(candidates)
 	if !ok || len(m.Excluded) >= maxPlacements {
 		c.refuse(now, p, m, c.refusalReason("NoUpstreamTakesFlows"))
 		return
 	}
 	c.Counts.Placed++
+	c.countPlacement(slices.ContainsFunc(candidates, func(x load.Candidate) bool { return x.Agent == to && x.Remote }))
 	m.Home = uint32(c.Self)
 	c.loads.AddPlacement(to)
 	c.owners.SetOwner(now, p.Flow, to)
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -34,6 +34,7 @@
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
 	"github.com/jaytack/jaytack/internal/relay/load"
+	"github.com/jaytack/jaytack/internal/relay/locality"
 	"github.com/jaytack/jaytack/internal/relay/lookup"
 	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
@@ -142,6 +143,9 @@
 	FlowLifetime time.Duration
 	// WarmUp is what the upstream tolerates beyond the rate of its service while it is cold.
 	WarmUp warmup.Bounds
+	// CrossDataCentreCost is set if traffic between data centres has a price, so that new
+	// flows leave theirs only while that pays.
+	CrossDataCentreCost bool
 }
 
 // Heartbeat is an upstream's report about itself.
@@ -171,6 +175,8 @@
 	// WarmUpWaited, WarmUpRedirected and WarmUpRefused count the flows over the warm-up limit
 	// by what became of them.
 	WarmUpWaited, WarmUpRedirected, WarmUpRefused int64
+	// PlacedLocally and PlacedRemotely count the flows placed by where the upstream is.
+	PlacedLocally, PlacedRemotely int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
@@ -242,6 +248,8 @@
 	warmUpLimited   bool
 	loads           *load.Tracker
 	evacuations     evacuation.Table
+	locality        *locality.Controller
+	roundTrips      roundTrips
 	upstream        upstreamState
 	sequence        uint64
 	state           message.State
@@ -284,6 +292,7 @@
 	c := &Core{
 		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
 		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(), warmUp: warmup.New(cfg.Started),
+		locality: locality.New(), roundTrips: make(roundTrips),
 	}
 	c.updateState(0)
 	return c
--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -52,6 +52,9 @@
 	DataCentres Names
 	// WarmUp is what cold upstreams tolerate beyond the rate of their service.
 	WarmUp warmup.Bounds
+	// CrossDataCentreCost is set if traffic between data centres has a price, so that new
+	// flows leave theirs only while that pays.
+	CrossDataCentreCost bool
 }
 
 // Names is a list of names. Unlike a slice it can be compared with ==.
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -58,6 +58,8 @@
 	ResetsUnknown bool
 	// Ran counts requests that started to run, Shed those that were rejected.
 	Ran, Shed int
+	// RanRemotely counts those of Ran whose caller is in another data centre.
+	RanRemotely int
 	// SynsReceived counts SYN packets, retransmissions included.
 	SynsReceived int
 	// MostFirstPackets is the largest number of first packets of new flows that arrived within a
@@ -259,6 +261,9 @@
 	u.busySlots++
 	u.startedRequests[j.request] = true
 	u.Ran++
+	if t := u.w.callerFlows[j.id.Caller]; t != nil && t.caller.dc != u.p.DataCentre {
+		u.RanRemotely++
+	}
 	if u.isCold() {
 		j.serviceTime = time.Duration(float64(j.serviceTime) * warmUpSlowdown)
 	}
