Compare uneven upstreams by the expected time to an answer

A request that takes several times as long as usual is late at a slow upstream and in time at a fast one, but flows were placed by the expected wait alone.

If a known service time is outside the dead band, the cost is the expected time to an answer. The long-run load counts all flows by the observed fraction of time in which they have a request in progress.

--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -8,10 +8,15 @@
 // since a peer's last report, so that a burst between two reports is not sent to one
 // peer.
 //
+// Upstreams may differ in speed. Those of a group whose service times are all within a dead
+// band around the median are compared by their expected wait only. If any is outside, all are
+// compared by the expected time to an answer, so that flows go to fast upstreams as long as
+// these have room; see unevenCost.
+//
 // # Usage
 //
 //	t := load.New()
-//	t.Update(peer, load.Report{Slots: 4, Busy: 2, Idle: 30})
+//	t.Update(peer, load.Report{Slots: 4, Busy: 2, Idle: 30, ServiceTime: 26 * time.Millisecond})
 //	agent, ok := t.Choose(load.Sample(id.Hash(), candidates))
 //	t.AddPlacement(agent)
 //
@@ -21,14 +26,17 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/speed"
 )
 
 // Costs of a candidate in addition to its requests in progress.
 const (
 	// idleFlowCost is the load of an open flow without a request, in requests: the
-	// fraction of time in which such a flow has a request in progress.
+	// fraction of time in which such a flow has a request in progress. Uneven groups use
+	// the fraction observed, which starts from this one.
 	idleFlowCost = 0.04
 	// remoteCost is the cost of another data centre, in request durations: two
 	// crossings of a few milliseconds, relative to a request of a few tens.
@@ -43,6 +51,21 @@
 	defaultSlots = 4
 )
 
+// Constants of the cost in uneven groups.
+const (
+	// weightNow is the weight of the wait that the present load causes, and the rest that of the
+	// long-run load. Flows stay where they were opened through several waves of demand, so the
+	// long-run load counts more. docs/design/speed.md has the measurements.
+	weightNow = 0.25
+	// maxStable is the utilisation above which the long-run wait grows linearly: it is not
+	// bounded at 1, but costs must stay comparable there.
+	maxStable = 0.9
+	// activityWeight is the weight of a report in the moving averages of running requests and
+	// flows. With 16 peers that report up to 20 times a second they cover more than 10 s, a
+	// wave of demand.
+	activityWeight = 1.0 / 4096
+)
+
 // Sample sizes. Two local candidates find a free upstream as reliably as more do; one
 // remote candidate allows flows to leave a data centre that is full.
 const (
@@ -60,12 +83,25 @@
 	Idle int
 	// Cold is set while the upstream is slow after its start.
 	Cold bool
+	// ServiceTime is the usual time of a request without waiting, 0 if unknown.
+	ServiceTime time.Duration
+}
+
+func (r Report) slots() int {
+	if r.Slots == 0 {
+		return defaultSlots
+	}
+	return r.Slots
 }
 
 type agentLoad struct {
 	Report
 	// placedSinceReport counts the flows placed since the last report.
 	placedSinceReport int
+	// speed is the ratio of the service time to the median of the group, see speed.Relative.
+	speed float64
+	// distrusted is set if the service time is so short that the requests may fail.
+	distrusted bool
 }
 
 // Candidate is an agent that may receive a new flow.
@@ -112,17 +148,26 @@
 // Tracker holds the load of a service's agents as known to one agent.
 type Tracker struct {
 	agents map[flow.IP]*agentLoad
+	// median is the median of the known service times. uneven is set if one of them is
+	// outside the dead band. Both and the relative speeds are outdated if a service time has
+	// changed since.
+	median           time.Duration
+	uneven, outdated bool
+	// running and flows are moving averages of the requests that run at an upstream and of its
+	// open flows. A flow counts by the relative speed of its upstream, since its requests take
+	// longer at a slow one.
+	running, flows float64
 }
 
 // New returns a tracker without agents.
 func New() *Tracker {
-	return &Tracker{agents: make(map[flow.IP]*agentLoad)}
+	return &Tracker{agents: make(map[flow.IP]*agentLoad), running: idleFlowCost, flows: 1}
 }
 
 func (t *Tracker) getOrCreate(a flow.IP) *agentLoad {
 	e := t.agents[a]
 	if e == nil {
-		e = &agentLoad{}
+		e = &agentLoad{speed: 1}
 		t.agents[a] = e
 	}
 	return e
@@ -131,23 +176,86 @@
 // Update replaces an agent's report and resets the count of its placements.
 func (t *Tracker) Update(a flow.IP, r Report) {
 	e := t.getOrCreate(a)
+	t.outdated = t.outdated || e.ServiceTime != r.ServiceTime
 	e.Report, e.placedSinceReport = r, 0
+	running, flows := float64(min(e.Busy, e.slots())), float64(e.Busy+e.Idle)*e.speed
+	t.running += (running - t.running) * activityWeight
+	t.flows += (flows - t.flows) * activityWeight
 }
 
 // Remove removes an agent.
-func (t *Tracker) Remove(a flow.IP) { delete(t.agents, a) }
+func (t *Tracker) Remove(a flow.IP) {
+	delete(t.agents, a)
+	t.outdated = true
+}
+
+// updateSpeeds compares the service times of all agents if one has changed.
+func (t *Tracker) updateSpeeds() {
+	if !t.outdated {
+		return
+	}
+	known := make([]time.Duration, 0, len(t.agents))
+	for _, e := range t.agents {
+		known = append(known, e.ServiceTime)
+	}
+	t.median, t.uneven, t.outdated = speed.Median(known), false, false
+	for _, e := range t.agents {
+		e.speed = speed.Relative(e.ServiceTime, t.median)
+		isEven := speed.IsEven(e.ServiceTime, t.median)
+		e.distrusted = !isEven && e.speed == 1
+		t.uneven = t.uneven || !isEven
+	}
+}
+
+// GroupSpeed describes the service times in a group.
+type GroupSpeed struct {
+	// Median is the median of the known service times, 0 if none is known.
+	Median time.Duration
+	// Uneven is set if a service time is outside the dead band around the median.
+	Uneven bool
+	// FlowLoad is the fraction of time in which an open flow has a request in progress at an
+	// upstream of median speed.
+	FlowLoad float64
+}
+
+// GroupSpeed returns the description of the group.
+func (t *Tracker) GroupSpeed() GroupSpeed {
+	t.updateSpeeds()
+	return GroupSpeed{Median: t.median, Uneven: t.uneven, FlowLoad: t.flowLoad()}
+}
+
+// Speed returns the ratio of an agent's service time to the median as it counts for
+// placement, 1 if it is unknown.
+func (t *Tracker) Speed(a flow.IP) float64 {
+	t.updateSpeeds()
+	return t.getOrCreate(a).speed
+}
+
+// flowLoad returns the load of an open flow at an upstream of median speed, in requests.
+func (t *Tracker) flowLoad() float64 { return min(t.running/max(t.flows, t.running), 1) }
 
 // AddPlacement counts a flow placed at an agent since its last report.
 func (t *Tracker) AddPlacement(a flow.IP) { t.getOrCreate(a).placedSinceReport++ }
 
-// Cost returns the expected wait at an agent, in request durations of its upstream.
+// Cost returns the expected wait at an agent, in request durations of its upstream or, in an
+// uneven group, of one of median speed.
 func (t *Tracker) Cost(c Candidate) float64 {
+	t.updateSpeeds()
 	e := t.getOrCreate(c.Agent)
-	slots := e.Slots
-	if slots == 0 {
-		slots = defaultSlots
+	if t.uneven {
+		return c.addPenalty(t.unevenCost(e))
 	}
+	slots := e.slots()
 	cost := expectedWait((float64(e.Busy+e.placedSinceReport) + idleFlowCost*float64(e.Idle)) / float64(slots))
+	cost = c.addPenalty(cost)
+	if e.Cold {
+		cost = (cost + 1/float64(slots)) * ColdFactor
+	}
+	return cost
+}
+
+// addPenalty adds the costs of a candidate that do not depend on its load.
+func (c Candidate) addPenalty(cost float64) float64 {
 	if c.Remote {
 		cost += remoteCost
 	}
@@ -157,10 +265,28 @@
 	if c.LikelyDown {
 		cost += likelyDownCost
 	}
+	return cost
+}
+
+// unevenCost returns the expected time to an answer at an agent, less one request duration at
+// median speed, in such durations. A request that takes several times as long as usual is in
+// time at a fast upstream and late at a slow one, so the service time itself counts besides
+// the wait. The wait is a mean of that at the present load and that at the long-run load, in
+// which all flows count by how often they have a request in progress. Counting flows also
+// keeps an upstream that fails fast, and is seldom busy, from attracting more of them.
+func (t *Tracker) unevenCost(e *agentLoad) float64 {
+	slots := float64(e.slots())
+	perFlow := t.flowLoad() * e.speed
+	longRun := perFlow * float64(e.Busy+e.placedSinceReport+e.Idle) / slots
+	now := (float64(e.Busy+e.placedSinceReport) + perFlow*float64(e.Idle)) / slots
+	if e.distrusted {
+		now = max(now, longRun)
+	}
+	rounds := 1 + weightNow*expectedWait(now) + (1-weightNow)*longRunWait(longRun)
 	if e.Cold {
-		cost = (cost + 1/float64(slots)) * ColdFactor
+		rounds = (rounds + 1/slots) * ColdFactor
 	}
-	return cost
+	return e.speed*rounds - 1
 }
 
 // expectedWait returns the expected wait in request durations. Below one request per
@@ -173,6 +299,17 @@
 	return 2*requestsPerSlot - 1
 }
 
+// longRunWait returns the expected wait in request durations at a utilisation that lasts: that
+// of two slots with random arrivals and service times.
+func longRunWait(utilisation float64) float64 {
+	wait := func(u float64) float64 { return u * u / (1 - u*u) }
+	if utilisation <= maxStable {
+		return wait(utilisation)
+	}
+	const slope = 2 * maxStable / ((1 - maxStable*maxStable) * (1 - maxStable*maxStable))
+	return wait(maxStable) + slope*(utilisation-maxStable)
+}
+
 // Choose returns the agent with the lowest cost, the first among equals. ok is false
 // if there are no candidates.
 func (t *Tracker) Choose(candidates []Candidate) (a flow.IP, ok bool) {
