Report the usual service time of each upstream

Placement by relative speeds needs the service time of each upstream, which only its agent sees.

Agents estimate it from requests that found a free slot at an upstream that was not cold, and put it into their records; a change of it alone causes no report. It is estimated anew after another upstream has started and from an agent's first heartbeat on. RelativeSpeedChanged logs the relative speed, FlowPlaced has that of the chosen agent, and the metric Speed has the estimate and the group. The mean that admission uses is unchanged.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -240,6 +240,11 @@
 		defer a.mu.Unlock()
 		return a.core.Counts
 	})
+	a.Metrics.Func("Speed", func() any {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.core.Speed(a.Now())
+	})
 	a.Metrics.Func("Tables", func() any {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -23,6 +23,7 @@
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/speed"
 )
 
 // Phase is the stage of a flow's setup at the upstream.
@@ -167,6 +168,9 @@
 	// slowdown is the factor set by SetSlowdown, at least 1.
 	slowdown    float64
 	serviceTime time.Duration
+	// speed estimates the usual service time from requests that found a free slot at an
+	// upstream that had not just started.
+	speed *speed.Estimator
 	// openingRTT is the moving average of the time from a first packet to the first
 	// request.
 	openingRTT time.Duration
@@ -174,7 +178,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{OnAnswer: func(time.Duration) {}, flows: make(map[flow.ID]*Flow), slots: 1, slowdown: 1, serviceTime: defaultServiceTime, openingRTT: defaultOpeningRTT}
+	return &Table{OnAnswer: func(time.Duration) {}, flows: make(map[flow.ID]*Flow), slots: 1, slowdown: 1, serviceTime: defaultServiceTime, speed: speed.New(), openingRTT: defaultOpeningRTT}
 }
 
 // SetSlots sets the number of requests that the upstream runs concurrently, at least 1.
@@ -187,6 +191,13 @@
 // slowdown.
 func (t *Table) ServiceTime() time.Duration { return t.serviceTime }
 
+// Speed returns the estimate of the upstream's usual service time.
+func (t *Table) Speed(now instant.Instant) speed.Estimate { return t.speed.Estimate(now) }
+
+// ResetSpeed discards the estimate of the usual service time: another upstream has started,
+// or it was unknown so far whether the upstream had just started.
+func (t *Table) ResetSpeed() { t.speed.Reset() }
+
 // InSystem returns the number of requests that run, are queued or are expected as the
 // first request of a new flow.
 func (t *Table) InSystem(now instant.Instant) int {
@@ -355,6 +366,9 @@
 		if f.hadFreeSlot {
 			took := time.Duration(float64(now.Sub(f.requestedAt)) / f.slowdown)
 			t.serviceTime += time.Duration(smoothingFactor * float64(took-t.serviceTime))
+			if f.slowdown == 1 {
+				t.speed.Record(now, took)
+			}
 		}
 		t.setBusy(f, false)
 	}
--- a/internal/relay/flowtable/flowtable_test.go
+++ b/internal/relay/flowtable/flowtable_test.go
@@ -151,3 +151,41 @@
 	table.RecordUpstreamPacket(5, response)
 	qt.Assert(t, table.Get(id).Phase, qt.Equals, Open)
 }
+
+// TestSpeedLeavesOutColdAndQueuedRequests guards against an upstream that counts as slow since
+// it has just started or since requests waited in its queue.
+func TestSpeedLeavesOutColdAndQueuedRequests(t *testing.T) {
+	table := newAcceptedTable()
+	at := instant.Instant(0)
+	run := func(n int, took time.Duration) {
+		for range n {
+			p := request
+			p.Seq += uint32(100 * int(at/instant.Instant(time.Second)))
+			table.RecordCallerPacket(at, p)
+			table.RecordUpstreamPacket(at.Add(took), response)
+			at = at.Add(time.Second)
+		}
+	}
+	run(20, 30*time.Millisecond)
+	table.SetSlowdown(1.6)
+	run(20, 300*time.Millisecond)
+	table.SetSlowdown(1)
+	got := table.Speed(at)
+	qt.Check(t, got.Samples, qt.Equals, 20)
+	qt.Check(t, got.ServiceTime.Round(time.Millisecond), qt.Equals, 30*time.Millisecond)
+
+	// Another flow takes the only slot.
+	table.SetSlots(1)
+	other, accept := request, response
+	other.Flow.Caller.Port++
+	accept.Flow = other.Flow
+	accept.Flags |= flow.Syn
+	table.RecordFirstPacket(at, flow.Packet{Flow: other.Flow, Flags: flow.Syn})
+	table.RecordUpstreamPacket(at, accept)
+	table.RecordCallerPacket(at, other)
+	run(20, 300*time.Millisecond)
+	qt.Check(t, table.Speed(at).Samples, qt.Equals, 20)
+
+	table.ResetSpeed()
+	qt.Check(t, table.Speed(at).Samples, qt.Equals, 0)
+}
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -51,7 +51,7 @@
 		return
 	}
 	if r.Service == c.Service {
-		c.loads.Update(from, load.Report{Slots: int(r.Slots), Busy: int(r.Busy), Idle: int(r.Idle), Cold: r.Cold})
+		c.loads.Update(from, load.Report{Slots: int(r.Slots), Busy: int(r.Busy), Idle: int(r.Idle), Cold: r.Cold, ServiceTime: time.Duration(r.ServiceTimeMicros) * time.Microsecond})
 	}
 	c.handleMemberChanges(now)
 }
@@ -115,6 +115,7 @@
 // expire removes expired flows, owners, searches and members.
 func (c *Core) expire(now instant.Instant) {
 	c.flows.Expire(now)
+	c.logSpeed(now)
 	for id, since := range c.disowned {
 		if now.Sub(since) > c.FlowLifetime {
 			delete(c.disowned, id)
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -44,7 +44,7 @@
 	c.loads.AddPlacement(to)
 	c.owners.SetOwner(now, p.Flow, to)
 	c.LogRoutine("FlowPlaced", "Flow", p.Flow, "Agent", to, "Among", len(candidates),
-		"Cost", c.loads.Cost(load.Candidate{Agent: to}), "Excluded", len(m.Excluded), "Copy", p.AckSeq)
+		"Cost", c.loads.Cost(load.Candidate{Agent: to}), "Speed", c.loads.Speed(to), "Excluded", len(m.Excluded), "Copy", p.AckSeq)
 	c.sendPacket(now, to, m, message.Step_StepPlace)
 }
 
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 		Instance: uint32(c.Self), Service: c.Service, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence,
 		State: c.state, Upstream: c.upstream.Upstream, UpstreamBorn: c.upstream.Born, Slots: uint32(c.upstream.Slots),
 		Busy: uint32(c.flows.InSystem(now) + c.waitQueue.Len()), Idle: uint32(idle), Cold: c.upstream.coldUntil > now,
+		ServiceTimeMicros: uint32(min(c.reportedServiceTime(now).Microseconds(), math.MaxUint32)),
 	}
 }
 
@@ -50,7 +52,7 @@
 // updateOwnLoad updates the load of this agent's upstream in the load table.
 func (c *Core) updateOwnLoad(now instant.Instant) {
 	_, idle := c.flows.Load()
-	c.loads.Update(c.Self, load.Report{Slots: c.upstream.Slots, Busy: c.flows.InSystem(now) + c.waitQueue.Len(), Idle: idle, Cold: c.upstream.coldUntil > now})
+	c.loads.Update(c.Self, load.Report{Slots: c.upstream.Slots, Busy: c.flows.InSystem(now) + c.waitQueue.Len(), Idle: idle, Cold: c.upstream.coldUntil > now, ServiceTime: c.reportedServiceTime(now)})
 }
 
 // audience holds the processes that get regular reports, with their intervals.
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -254,6 +254,8 @@
 	nextAnnouncement  instant.Instant
 	// handledChanges is the Members.ChangeCount that handleMemberChanges last handled.
 	handledChanges uint64
+	// loggedSpeed is the relative speed of the upstream when it was last logged.
+	loggedSpeed float64
 	// homesChanged is set if flows may have new homes that have not received a claim.
 	homesChanged bool
 }
@@ -262,7 +264,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
-		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(),
+		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(), loggedSpeed: 1,
 	}
 	c.updateState(0)
 	return c
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -43,6 +43,9 @@
 		// known one, whose last heartbeat may have been late.
 		c.resetReplacedFlows()
 	}
+	if replaced || !c.upstream.hasHeartbeat {
+		c.flows.ResetSpeed()
+	}
 	c.upstream.Heartbeat, c.upstream.hasHeartbeat = h, true
 	c.flows.SetSlots(c.slots())
 	c.upstream.lastHeartbeat, c.upstream.candidate = now, candidate{}
