Replay uneven upstreams in the virtual fleet

Upstreams of the virtual fleet were all equally fast, and long flows never ended.

Services take factors on service times, callers a number of requests for each flow, and reports can hide service times.

--- a/internal/standin/relay/caller.go
+++ b/internal/standin/relay/caller.go
@@ -33,7 +33,10 @@
 	// Pause is the time between the opening of a flow and the first request on it.
 	Pause time.Duration
 	// Persistent callers send many requests over one flow.
-	Persistent       bool
+	Persistent bool
+	// FlowRequests is the mean number of requests after which a persistent caller closes its
+	// flow; 0 is no limit.
+	FlowRequests     int
 	Idempotent       bool
 	ServiceTime      time.Duration
 	Aim, Deadline    time.Duration
@@ -259,7 +262,8 @@
 	u := t.caller
 	u.busy = false
 	u.w.Results = append(u.w.Results, Result{u.kind, time.Duration(t.firstAttemptAt), latency, outcome})
-	if !u.kind.Persistent || outcome != "Answered" {
+	endsFlow := u.kind.FlowRequests > 0 && u.w.Random.IntN(u.kind.FlowRequests) == 0
+	if !u.kind.Persistent || outcome != "Answered" || endsFlow {
 		t.closeFlow()
 	}
 }
--- a/internal/standin/relay/fleets.go
+++ b/internal/standin/relay/fleets.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // constantRate returns a rate that does not change over time.
 func constantRate(rate float64) func(time.Duration) float64 {
@@ -13,7 +16,7 @@
 	return Config{
 		Seed: seed, DataCentres: 3, Balancers: 6, SameDataCentreDelay: 200 * time.Microsecond, CrossDataCentreDelay: 3400 * time.Microsecond, CallerDelay: 3 * time.Millisecond,
 		LossPerMille: 1,
-		Services:     []Service{{"padron", 7, 4, 16}, {"recuento", 3, 4, 16}},
+		Services:     []Service{{Name: "padron", Upstreams: 7, Slots: 4, Queue: 16}, {Name: "recuento", Upstreams: 3, Slots: 4, Queue: 16}},
 		Callers: []Kind{
 			{Name: "Lookup", Service: 0, Callers: 60, Rate: constantRate(1.3), Persistent: true, Idempotent: true, ServiceTime: 26 * time.Millisecond, Aim: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond, Value: 1, LateValue: 0.3, Retries: 2},
 			{Name: "Feed", Service: 0, Callers: 30, Rate: constantRate(0.8), ServiceTime: 33 * time.Millisecond, Aim: 200 * time.Millisecond, Deadline: 3 * time.Second, Value: 2, LateValue: 0.6, Retries: 2},
@@ -27,7 +30,7 @@
 func LargeRegistro(seed uint64) Config {
 	cfg := Registro(seed)
 	cfg.Balancers = 20
-	cfg.Services = []Service{{"padron", 42, 2, 8}, {"recuento", 10, 2, 8}}
+	cfg.Services = []Service{{Name: "padron", Upstreams: 42, Slots: 2, Queue: 8}, {Name: "recuento", Upstreams: 10, Slots: 2, Queue: 8}}
 	for i, k := range []struct {
 		callers int
 		rate    float64
@@ -45,7 +48,7 @@
 	cfg := LargeRegistro(seed)
 	agents := size * 7 / 10
 	cfg.DataCentres, cfg.Balancers = 5, size-agents
-	cfg.Services = []Service{{"padron", agents * 4 / 5, 2, 8}, {"recuento", agents - agents*4/5, 2, 8}}
+	cfg.Services = []Service{{Name: "padron", Upstreams: agents * 4 / 5, Slots: 2, Queue: 8}, {Name: "recuento", Upstreams: agents - agents*4/5, Slots: 2, Queue: 8}}
 	for i := range cfg.Callers {
 		cfg.Callers[i].Callers = cfg.Callers[i].Callers * agents / 52
 	}
@@ -58,7 +61,7 @@
 func Kitambaa(seed uint64) Config {
 	cfg := Registro(seed)
 	cfg.CrossDataCentreDelay, cfg.CallerDelay = 4500*time.Microsecond, time.Millisecond
-	cfg.Services = []Service{{"fold-studio", 7, 7, 28}, {"pattern-desk", 3, 7, 28}}
+	cfg.Services = []Service{{Name: "fold-studio", Upstreams: 7, Slots: 7, Queue: 28}, {Name: "pattern-desk", Upstreams: 3, Slots: 7, Queue: 28}}
 	cfg.Callers = []Kind{
 		{Name: "Guide", Service: 0, Callers: 90, Rate: constantRate(1.1), Persistent: true, Idempotent: true, ServiceTime: 55 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 4 * time.Second, Value: 1, LateValue: 0.3, Retries: 2},
 		{Name: "Confirm", Service: 0, Callers: 90, Rate: constantRate(0.3), Persistent: true, ServiceTime: 72 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 5 * time.Second, Value: 2, LateValue: 0.6, Retries: 2},
@@ -67,6 +70,26 @@
 	return cfg
 }
 
+// Ratenwerk returns a fleet whose upstreams differ in speed, under a demand that swings within
+// seconds: 49 upstreams with two slots, a third each at 0.6, 1.0 and 1.6 times the service time,
+// and callers that keep flows open for many requests.
+func Ratenwerk(seed uint64) Config {
+	cfg := Registro(seed)
+	cfg.DataCentres, cfg.Balancers, cfg.CrossDataCentreDelay = 4, 8, 500*time.Microsecond
+	cfg.Services = []Service{{Name: "checkout", Upstreams: 49, Slots: 2, Queue: 8, Factors: []float64{0.6, 1, 1.6}}}
+	cfg.Callers = []Kind{
+		{Name: "Poll", Service: 0, Callers: 289, Rate: waveRate(1), Persistent: true, FlowRequests: 20, Idempotent: true, ServiceTime: 26 * time.Millisecond, Aim: 250 * time.Millisecond, Deadline: 1500 * time.Millisecond, Value: 1, LateValue: 0.3, Retries: 2},
+		{Name: "Approve", Service: 0, Callers: 82, Rate: waveRate(1), Persistent: true, FlowRequests: 20, ServiceTime: 33 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 1500 * time.Millisecond, Value: 2, LateValue: 0.6, Retries: 2},
+	}
+	return cfg
+}
+
+// waveRate returns a rate that swings by 55 % around its mean within 13 s. It peaks 13 s after
+// the start and every 13 s from then on.
+func waveRate(mean float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 { return mean * (1 + 0.55*math.Cos(2*math.Pi*at.Seconds()/13)) }
+}
+
 // Scale multiplies the request rates of all kinds by a factor.
 func (cfg *Config) Scale(factor float64) {
 	for i := range cfg.Callers {
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -273,6 +273,9 @@
 	if p == nil {
 		return
 	}
+	if r := e.GetReport().GetRecord(); r != nil && w.HideServiceTimes {
+		r.ServiceTimeMicros = 0
+	}
 	if w.Traffic != nil {
 		w.countMessage(from, to, e)
 	}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -60,6 +60,9 @@
 	Name             string
 	Upstreams, Slots int
 	Queue            int
+	// Factors are multiples of the service times, 1 if empty. The n-th upstream of a data
+	// centre has the n-th one, modulo their number.
+	Factors []float64
 }
 
 // Config describes a simulation.
@@ -77,6 +80,9 @@
 	// Sample selects the candidates considered for a new flow. If nil, agents select
 	// them as the daemons do.
 	Sample func(hash uint64, candidates []load.Candidate) []load.Candidate
+	// HideServiceTimes removes the service times from all reports, so that placement does not
+	// know that upstreams differ.
+	HideServiceTimes bool
 	// MaxReadDelay is the longest time by which a balancer that starts reads its members later
 	// than its configuration.
 	MaxReadDelay time.Duration
@@ -227,6 +233,9 @@
 func (w *World) AddAgent(s Service, n int) *Process {
 	p := &Process{IP: flow.IP(0x0a020000 + len(w.Agents) + 1), DataCentre: dataCentre(n % w.DataCentres), service: s.Name}
 	p.Upstream = newUpstream(w, p, s)
+	if len(s.Factors) > 0 {
+		p.Upstream.Factor = s.Factors[n/w.DataCentres%len(s.Factors)]
+	}
 	w.Agents = append(w.Agents, p)
 	w.processes[p.IP] = p
 	w.Start(p)
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -350,7 +350,7 @@
 func TestOpenFlowsSurviveManyMovesOfARoute(t *testing.T) {
 	cfg := Registro(32)
 	for i := range 6 {
-		cfg.Services = append(cfg.Services, Service{fmt.Sprintf("extra-%d", i), 1, 4, 16})
+		cfg.Services = append(cfg.Services, Service{Name: fmt.Sprintf("extra-%d", i), Upstreams: 1, Slots: 4, Queue: 16})
 	}
 	w := New(cfg)
 	for i := range 6 {
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -34,10 +34,12 @@
 // Upstream runs requests on a limited number of slots, queues some and sheds the rest.
 type Upstream struct {
 	Service
-	w     *World
-	p     *Process
-	flows map[flow.ID]*upstreamFlow
-	alive bool
+	// Factor multiplies the service times.
+	Factor float64
+	w      *World
+	p      *Process
+	flows  map[flow.ID]*upstreamFlow
+	alive  bool
 	// Dark makes connection attempts to a stopped upstream time out instead of being refused.
 	Dark bool
 	// bouncesPackets is set while the instance is up but its upstream is down.
@@ -64,7 +66,7 @@
 }
 
 func newUpstream(w *World, p *Process, s Service) *Upstream {
-	return &Upstream{Service: s, w: w, p: p, startedRequests: make(map[uint32]bool), answered: make(map[uint32]bool)}
+	return &Upstream{Service: s, Factor: 1, w: w, p: p, startedRequests: make(map[uint32]bool), answered: make(map[uint32]bool)}
 }
 
 // Start starts the upstream under a new name, without its earlier state.
@@ -231,6 +233,7 @@
 	if u.w.now.Sub(u.startedAt) < warmUpTime {
 		j.serviceTime = time.Duration(float64(j.serviceTime) * warmUpSlowdown)
 	}
+	j.serviceTime = time.Duration(float64(j.serviceTime) * u.Factor)
 	start := u.starts
 	u.w.after(j.serviceTime, func() {
 		if u.starts != start {
