--- a/core_test.go
+++ b/core_test.go
@@ -22,6 +22,7 @@
 	"internal/relay/flowtable", "internal/relay/membership", "internal/relay/routes", "internal/relay/serving", "internal/relay/action", "internal/relay/admission",
 	"internal/relay/evacuation",
 	"internal/relay/warmup",
+	"internal/relay/speed",
 }
 
 // forbidden lists imports that bring input, output or a clock.
--- a/internal/standin/relay/caller.go
+++ b/internal/standin/relay/caller.go
@@ -35,7 +35,10 @@
 	// Persistent callers send many requests over one flow.
 	Persistent bool
 	// FlowLifetime, if set, is the mean time after which persistent callers end a flow.
-	FlowLifetime     time.Duration
+	FlowLifetime time.Duration
+	// FlowRequests is the mean number of requests after which a persistent caller closes its
+	// flow; 0 is no limit.
+	FlowRequests     int
 	Idempotent       bool
 	ServiceTime      time.Duration
 	Aim, Deadline    time.Duration
@@ -271,7 +274,8 @@
 	u := t.caller
 	u.busy = false
 	u.w.Results = append(u.w.Results, Result{u.kind, time.Duration(t.firstAttemptAt), latency, outcome, u.dc})
-	if !u.kind.Persistent || t.endsAt != 0 && u.w.now >= t.endsAt || outcome != "Answered" {
+	endsFlow := t.endsAt != 0 && u.w.now >= t.endsAt || u.kind.FlowRequests > 0 && u.w.Random.IntN(u.kind.FlowRequests) == 0
+	if !u.kind.Persistent || outcome != "Answered" || endsFlow {
 		t.closeFlow()
 	}
 }
