Tell agents which services have several kinds of requests

Cause: an agent that orders the requests of its upstream must know whether the service has more than one kind; it sees only the routes of the packets that it has got so far, and forgets them with each restart.

Change: the routing table marks services to which routes with different priority, target latency or timeout lead, and balancers set Carried.SeveralKinds on the packets for them.

Result: TestServicesWithSeveralKinds. Packets for other services are the same as before.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -223,6 +223,7 @@
 			h.lastUsed = now
 			m.Service, m.Step = owner.Service, message.Step_StepOwner
 			m.KnownOnly = !r.HasService(owner.Service)
+			m.SeveralKinds = c.Routes.HasSeveralKinds(owner.Service)
 			c.setOtherServices(now, m, r)
 			c.Counts.ToOwner++
 			c.sendPacket(h.owner, m)
@@ -238,7 +239,7 @@
 		c.handleNoAgent(now, p, service)
 		return
 	}
-	m.Step = message.Step_StepHome
+	m.Step, m.SeveralKinds = message.Step_StepHome, c.Routes.HasSeveralKinds(service)
 	c.Counts.ToHome++
 	c.LogRoutine("PacketToHome", "Flow", p.Flow, "Home", home, "Service", service, "Opens", p.OpensFlow(), "Version", c.Routes.Version())
 	c.sendPacket(home, m)
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -137,8 +137,33 @@
 	historySince instant.Instant
 	// services lists the current services of all routes, sorted.
 	services []string
+	// kinds holds the kind of requests of each service; several marks services with more
+	// than one.
+	kinds   map[string]requestKind
+	several map[string]bool
 }
 
+// requestKind is what agents order requests by.
+type requestKind struct {
+	priority               uint32
+	targetLatency, timeout time.Duration
+}
+
+// addKinds records the kind of a route's requests for its services.
+func (t *Table) addKinds(r *Route) {
+	kind := requestKind{r.Priority, r.TargetLatency, r.Timeout}
+	for _, s := range r.Shares {
+		if other, ok := t.kinds[s.Service]; ok && other != kind {
+			t.several[s.Service] = true
+		}
+		t.kinds[s.Service] = kind
+	}
+}
+
+// HasSeveralKinds reports whether current routes to a service differ in priority, target
+// latency or timeout.
+func (t *Table) HasSeveralKinds(service string) bool { return t.several[service] }
+
 // Version returns the version in force, 0 for none.
 func (t *Table) Version() Version { return t.version }
 
@@ -161,12 +186,14 @@
 	t.version = c.Version
 	previous := t.routes
 	t.routes = make(map[flow.Endpoint]*Route, len(c.Routes))
+	t.kinds, t.several = make(map[string]requestKind), make(map[string]bool)
 	services := make(map[string]bool)
 	for i := range c.Routes {
 		if !c.Routes[i].addFormerServices(previous[c.Routes[i].Address]) {
 			t.historySince = now
 		}
 		t.routes[c.Routes[i].Address] = &c.Routes[i]
+		t.addKinds(&c.Routes[i])
 		for _, s := range c.Routes[i].Shares {
 			services[s.Service] = true
 		}
--- a/internal/relay/routes/routes_test.go
+++ b/internal/relay/routes/routes_test.go
@@ -39,3 +39,39 @@
 	table.Apply(now.Add(time.Second), configuration(7, "f"))
 	qt.Assert(t, table.HasHistory(now.Add(flow.DefaultLifetime), flow.DefaultLifetime), qt.IsTrue)
 }
+
+// TestServicesWithSeveralKinds guards against agents that order the requests of a service with
+// a single kind, or do not order those of one with several.
+func TestServicesWithSeveralKinds(t *testing.T) {
+	usual := routes.Route{Priority: 2, TargetLatency: 250 * time.Millisecond, Timeout: time.Second}
+	urgent, patient, slow := usual, usual, usual
+	urgent.Priority, patient.TargetLatency, slow.Timeout = 1, time.Second, time.Minute
+	tests := []struct {
+		name  string
+		other routes.Route
+		want  bool
+	}{
+		{"Same", usual, false},
+		{"Priority", urgent, true},
+		{"TargetLatency", patient, true},
+		{"Timeout", slow, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var table routes.Table
+			add := func(version routes.Version, rs ...routes.Route) {
+				for i := range rs {
+					rs[i].Address = flow.Endpoint{IP: flow.IP(i + 1)}
+					rs[i].Shares = []routes.Share{{Service: "shared", Weight: 1}}
+				}
+				rs = append(rs, routes.Route{Shares: []routes.Share{{Service: "alone", Weight: 1}}})
+				table.Apply(1, &routes.Configuration{Version: version, Routes: rs})
+			}
+			add(1, usual, test.other)
+			qt.Check(t, table.HasSeveralKinds("shared"), qt.Equals, test.want)
+			qt.Check(t, table.HasSeveralKinds("alone"), qt.IsFalse)
+			add(2, usual)
+			qt.Check(t, table.HasSeveralKinds("shared"), qt.IsFalse)
+		})
+	}
+}
