--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -88,6 +88,8 @@
 	FlowsLeft int
 	// ServiceTime is the usual time of a request without waiting, 0 if unknown.
 	ServiceTime time.Duration
+	// Waiting is the number of requests among Busy that wait for a slot, by priority.
+	Waiting Waiting
 }
 
 func (r Report) slots() int {
@@ -97,6 +99,21 @@
 	return r.Slots
 }
 
+// Waiting is a number of requests and new flows by priority; the last element counts all
+// lower priorities.
+type Waiting [4]int
+
+// Add counts n requests of a priority.
+func (w *Waiting) Add(priority uint32, n int) { w[min(int(priority), len(w)-1)] += n }
+
+// after returns the number of those with a lower priority.
+func (w Waiting) after(priority uint32) (n int) {
+	for _, x := range w[min(int(priority)+1, len(w)):] {
+		n += x
+	}
+	return n
+}
+
 type agentLoad struct {
 	Report
 	// placedSinceReport counts the flows placed since the last report.
@@ -120,6 +137,9 @@
 	Unconfirmed, LikelyDown bool
 	// NoFlowsLeft is set if the agent's cold upstream takes no new flow now.
 	NoFlowsLeft bool
+	// Priority is the priority of the flow to place. Requests that wait with a lower one
+	// are served after it.
+	Priority uint32
 }
 
 // Sample returns the candidates to compare for a flow: those with the highest rendezvous
@@ -270,16 +290,22 @@
 	return slots, float64(e.Busy + e.placedSinceReport)
 }
 
+// busyBefore returns the requests that go before one of a priority, with the flows placed since
+// the last report.
+func (e *agentLoad) busyBefore(priority uint32) int {
+	return max(e.Busy-e.Waiting.after(priority), 0) + e.placedSinceReport
+}
+
 // Cost returns the expected wait at an agent, in request durations of its upstream or, in an
 // uneven group, of one of median speed.
 func (t *Tracker) Cost(c Candidate) float64 {
 	t.updateSpeeds()
 	e := t.getOrCreate(c.Agent)
 	if t.uneven {
-		return c.addPenalty(t.unevenCost(e))
+		return c.addPenalty(t.unevenCost(e, c.Priority))
 	}
 	slots := e.slots()
-	cost := ExpectedWait((float64(e.Busy+e.placedSinceReport) + idleFlowCost*float64(e.Idle)) / float64(slots))
+	cost := ExpectedWait((float64(e.busyBefore(c.Priority)) + idleFlowCost*float64(e.Idle)) / float64(slots))
 	cost = c.addPenalty(cost)
 	if e.Cold {
 		cost = (cost + 1/float64(slots)) * ColdFactor
@@ -310,11 +336,11 @@
 // the wait. The wait is a mean of that at the present load and that at the long-run load, in
 // which all flows count by how often they have a request in progress. Counting flows also
 // keeps an upstream that fails fast, and is seldom busy, from attracting more of them.
-func (t *Tracker) unevenCost(e *agentLoad) float64 {
+func (t *Tracker) unevenCost(e *agentLoad, priority uint32) float64 {
 	slots := float64(e.slots())
 	perFlow := t.flowLoad() * e.speed
 	longRun := perFlow * float64(e.Busy+e.placedSinceReport+e.Idle) / slots
-	now := (float64(e.Busy+e.placedSinceReport) + perFlow*float64(e.Idle)) / slots
+	now := (float64(e.busyBefore(priority)) + perFlow*float64(e.Idle)) / slots
 	if e.distrusted {
 		now = max(now, longRun)
 	}
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -152,12 +152,37 @@
 	services []string
 	// warmUpRates holds the rates of the services with a warm-up limit.
 	warmUpRates map[string]warmup.Rate
+	// kinds holds the kind of requests of each service; several marks services with more
+	// than one.
+	kinds   map[string]requestKind
+	several map[string]bool
 }
 
 // WarmUpRate returns the rate of new flows that a cold upstream of a service takes, 0 for no
 // limit.
 func (t *Table) WarmUpRate(service string) warmup.Rate { return t.warmUpRates[service] }
 
+// requestKind is what agents order requests by.
+type requestKind struct {
+	priority               uint32
+	targetLatency, timeout time.Duration
+}
+
+// addKinds records the kind of a route's requests for its services.
+func (t *Table) addKinds(r *Route) {
+	kind := requestKind{r.Priority, r.TargetLatency, r.Timeout}
+	for _, s := range r.Shares {
+		if other, ok := t.kinds[s.Service]; ok && other != kind {
+			t.several[s.Service] = true
+		}
+		t.kinds[s.Service] = kind
+	}
+}
+
+// HasSeveralKinds reports whether current routes to a service differ in priority, target
+// latency or timeout.
+func (t *Table) HasSeveralKinds(service string) bool { return t.several[service] }
+
 // Version returns the version in force, 0 for none.
 func (t *Table) Version() Version { return t.version }
 
@@ -180,12 +205,14 @@
 	t.version = c.Version
 	previous := t.routes
 	t.routes = make(map[flow.Endpoint]*Route, len(c.Routes))
+	t.kinds, t.several = make(map[string]requestKind), make(map[string]bool)
 	services := make(map[string]bool)
 	for i := range c.Routes {
 		if !c.Routes[i].addFormerServices(previous[c.Routes[i].Address]) {
 			t.historySince = now
 		}
 		t.routes[c.Routes[i].Address] = &c.Routes[i]
+		t.addKinds(&c.Routes[i])
 		for _, s := range c.Routes[i].Shares {
 			services[s.Service] = true
 		}
--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -57,7 +57,7 @@
 	if r.Service == c.Service {
 		c.loads.Update(from, load.Report{
 			Slots: int(r.Slots), Busy: int(r.Busy), Idle: int(r.Idle), Cold: r.Cold, FlowsLeft: int(r.FlowsLeft),
-			ServiceTime: time.Duration(r.ServiceTimeMicros) * time.Microsecond,
+			ServiceTime: time.Duration(r.ServiceTimeMicros) * time.Microsecond, Waiting: waitingOf(r),
 		})
 	}
 	c.handleMemberChanges(now)
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -20,6 +20,7 @@
 		State: c.state, Upstream: c.upstream.Upstream, UpstreamBorn: c.upstream.Born, Slots: uint32(c.upstream.Slots),
 		Busy: uint32(c.flows.InSystem(now) + c.waitQueue.Len()), Idle: uint32(idle), Cold: c.upstream.coldUntil > now,
 		FlowsLeft: uint32(c.flowsLeft(now)), ServiceTimeMicros: uint32(min(c.reportedServiceTime(now).Microseconds(), math.MaxUint32)),
+		Waiting: c.recordedWaiting(),
 	}
 }
 
@@ -56,7 +57,7 @@
 	_, idle := c.flows.Load()
 	c.loads.Update(c.Self, load.Report{
 		Slots: c.upstream.Slots, Busy: c.flows.InSystem(now) + c.waitQueue.Len(), Idle: idle, Cold: c.upstream.coldUntil > now,
-		FlowsLeft: c.flowsLeft(now), ServiceTime: c.reportedServiceTime(now),
+		FlowsLeft: c.flowsLeft(now), ServiceTime: c.reportedServiceTime(now), Waiting: c.waiting(),
 	})
 }
 
@@ -168,7 +169,8 @@
 	}
 	idleChange := int(current.Idle) - int(l.record.Idle)
 	return current.State != l.record.State || current.Slots != l.record.Slots || current.Busy != l.record.Busy ||
-		current.Cold != l.record.Cold || current.FlowsLeft != l.record.FlowsLeft || max(idleChange, -idleChange) >= minIdleChange
+		current.Cold != l.record.Cold || current.FlowsLeft != l.record.FlowsLeft || max(idleChange, -idleChange) >= minIdleChange ||
+		!slices.Equal(current.Waiting, l.record.Waiting)
 }
 
 // balancerInterval returns the interval between reports to the balancers of the audience.
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -38,6 +38,7 @@
 	"github.com/jaytack/jaytack/internal/relay/lookup"
 	"github.com/jaytack/jaytack/internal/relay/membership"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/scheduling"
 	"github.com/jaytack/jaytack/internal/relay/warmup"
 )
 
@@ -177,6 +178,12 @@
 	WarmUpWaited, WarmUpRedirected, WarmUpRefused int64
 	// PlacedLocally and PlacedRemotely count the flows placed by where the upstream is.
 	PlacedLocally, PlacedRemotely int64
+	// Held counts requests on open flows that were held, HeldByPriority those of them that
+	// were delivered, by priority with all lower ones in the last element, DeliveredLate those
+	// delivered after their target latency, DeliveredToQueue those delivered while no slot was
+	// free, HeldDropped those whose caller had given up. RefusedByPriority splits Refused.
+	Held, DeliveredLate, DeliveredToQueue, HeldDropped int64
+	HeldByPriority, RefusedByPriority                  [4]int64
 }
 
 // redeliveryPacket is a packet that is delivered again once the upstream is heard, since
@@ -237,15 +244,21 @@
 	Sample func(hash uint64, candidates []load.Candidate) []load.Candidate
 	// OnWait is called with the time that a new flow spent in the wait queue.
 	OnWait func(time.Duration)
+	// OnHeld is called with the time that a request on an open flow was held.
+	OnHeld func(time.Duration)
 
 	owners    *lookup.Table
 	flows     *flowtable.Table
 	waitQueue *admission.Queue
 	// warmUp holds the first packets that the upstream got lately, warmUpRate the rate of its
 	// service in the last first packet seen. warmUpLimited is set while the limit applies.
-	warmUp          *warmup.Limiter
-	warmUpRate      warmup.Rate
-	warmUpLimited   bool
+	warmUp        *warmup.Limiter
+	warmUpRate    warmup.Rate
+	warmUpLimited bool
+	requests      *scheduling.Queue
+	// severalKinds is set if the last packet of the service said that it has several kinds of
+	// requests.
+	severalKinds    bool
 	loads           *load.Tracker
 	evacuations     evacuation.Table
 	locality        *locality.Controller
@@ -292,10 +305,11 @@
 // New returns the core of an agent that knows no other members.
 func New(cfg Config) *Core {
 	c := &Core{
-		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
+		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, OnHeld: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
 		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(), warmUp: warmup.New(cfg.Started),
-		locality: locality.New(), roundTrips: make(roundTrips), loggedSpeed: 1,
+		locality: locality.New(), roundTrips: make(roundTrips), requests: scheduling.New(), loggedSpeed: 1,
 	}
+	c.flows.OnDrop = c.dropHeld
 	c.updateState(0)
 	return c
 }
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -55,10 +55,13 @@
 		c.warmUp.ForgetAll()
 		c.LogStateChange("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "Before", old.Upstream, "BornBefore", old.Born)
 		c.redeliverRequests(old.Born)
+		// These were not delivered to the earlier upstream.
+		c.deliverAllHeld(now, "UpstreamReplaced")
 	}
 	c.recordUpstreamAlive(now)
 	c.updateState(now)
 	c.applyCheckpoint()
+	c.deliverHeld(now)
 	return true
 }
 
@@ -181,6 +184,7 @@
 		c.recordAway(now)
 	}
 	c.homesChanged = true
+	c.deliverHeld(now)
 	if s == message.State_StateGone {
 		c.finishDeniedSearches(now)
 	}
