Eject upstreams that fail requests while they say that they are well

An upstream that resets each request is always free, so that the least loaded one is the one that fails. Agents count outcomes; reports tell homes of ejected upstreams, which get new flows only if no other one takes them.

--- a/core_test.go
+++ b/core_test.go
@@ -23,6 +23,7 @@
 	"internal/relay/evacuation",
 	"internal/relay/warmup",
 	"internal/relay/speed",
+	"internal/relay/ejection",
 	"internal/relay/scheduling",
 }
 
--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -70,7 +70,7 @@
 		core: serving.New(serving.Config{
 			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
 			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime,
-			WarmUp: s.WarmUp, CrossDataCentreCost: s.CrossDataCentreCost,
+			WarmUp: s.WarmUp, CrossDataCentreCost: s.CrossDataCentreCost, EjectFailing: s.EjectFailing,
 		}),
 	}
 	// The lock holds back messages that arrive before the agent is complete.
@@ -263,7 +263,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		flows, busy, owners, searches := a.core.Sizes()
-		return map[string]any{"State": a.core.State().String(), "Flows": flows, "Busy": busy, "Owners": owners, "Searches": searches, "FlowsLeft": a.core.FlowsLeft(a.Now())}
+		return map[string]any{"State": a.core.State().String(), "Ejection": a.core.EjectionState(a.Now()).String(), "Flows": flows, "Busy": busy, "Owners": owners, "Searches": searches, "FlowsLeft": a.core.FlowsLeft(a.Now())}
 	})
 }
 
--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -165,6 +165,9 @@
 type Table struct {
 	// OnAnswer is called with the duration of each answered request.
 	OnAnswer func(time.Duration)
+	// OnOutcome is called for each request that the upstream has answered, or has failed: it has
+	// reset the flow, or has not answered within the time limit although a slot was free.
+	OnOutcome func(now instant.Instant, answered bool)
 	// OnDrop is called if a held request ends without having been released.
 	OnDrop func(flow.ID)
 
@@ -195,7 +198,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		OnAnswer: func(time.Duration) {}, OnDrop: func(flow.ID) {}, flows: make(map[flow.ID]*Flow), slots: 1, slowdown: 1,
+		OnAnswer: func(time.Duration) {}, OnDrop: func(flow.ID) {}, OnOutcome: func(instant.Instant, bool) {}, flows: make(map[flow.ID]*Flow), slots: 1, slowdown: 1,
 		serviceTime: defaultServiceTime, speed: speed.New(), openingRTT: defaultOpeningRTT,
 	}
 }
@@ -236,6 +239,10 @@
 		timeout = defaultTimeout
 	}
 	if f.busy && !f.waiting && now.Sub(f.requestedAt) > timeout {
+		if f.hadFreeSlot {
+			// Others may have timed out in the queue of an upstream that works.
+			t.OnOutcome(now, false)
+		}
 		t.setBusy(f, false)
 	}
 }
@@ -435,6 +442,7 @@
 	}
 	if p.Len > 0 && f.busy && !f.waiting {
 		t.OnAnswer(now.Sub(f.requestedAt))
+		t.OnOutcome(now, true)
 		if f.hadFreeSlot {
 			took := time.Duration(float64(now.Sub(f.requestedAt)) / f.slowdown)
 			t.serviceTime += time.Duration(smoothingFactor * float64(took-t.serviceTime))
@@ -446,6 +454,9 @@
 	}
 	switch {
 	case p.Flags.Has(flow.Rst):
+		if f.busy && !f.waiting {
+			t.OnOutcome(now, false)
+		}
 		t.Delete(f)
 	case p.Flags.Has(flow.Fin):
 		f.upstreamFinished = true
--- a/internal/relay/load/load.go
+++ b/internal/relay/load/load.go
@@ -135,6 +135,8 @@
 	// Unconfirmed is set if the agent has not confirmed that its upstream is ready,
 	// LikelyDown if that confirmation is overdue.
 	Unconfirmed, LikelyDown bool
+	// Failing is set if the agent's upstream is ejected, since it fails its requests.
+	Failing bool
 	// NoFlowsLeft is set if the agent's cold upstream takes no new flow now.
 	NoFlowsLeft bool
 	// Priority is the priority of the flow to place. Requests that wait with a lower one
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -60,7 +60,7 @@
 func (c *Core) candidates(now instant.Instant, m *message.Carried) []load.Candidate {
 	var out []load.Candidate
 	local := c.localDataCentre(m)
-	add := func(id flow.IP, dataCentre string, state message.State, reporting bool) {
+	add := func(id flow.IP, dataCentre string, state message.State, reporting, failing bool) {
 		if slices.Contains(m.Excluded, uint32(id)) || c.evacuations.Contains(dataCentre) {
 			return
 		}
@@ -76,16 +76,17 @@
 			return
 		}
 		cand.LikelyDown = cand.LikelyDown || !reporting && !c.recentlyStarted(now)
+		cand.Failing = failing
 		out = append(out, cand)
 	}
-	add(c.Self, c.DataCentre, c.state, true)
+	add(c.Self, c.DataCentre, c.state, true, c.isFailing(now))
 	reporters := c.Members.Overlay().Reporters
 	for _, r := range c.Members.Agents(c.Service) {
 		if r.ID() != c.Self && (reporters[r.ID()] || r.ReportsRegularly(now)) {
-			add(r.ID(), r.DataCentre, r.State, r.IsReporting(now))
+			add(r.ID(), r.DataCentre, r.State, r.IsReporting(now), r.Failing)
 		}
 	}
-	return out
+	return avoidFailing(out)
 }
 
 // recentlyStarted reports whether the process started so recently that some peers may
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -18,9 +18,9 @@
 	return &message.Record{
 		Instance: uint32(c.Self), Service: c.Service, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Sequence: c.sequence,
 		State: c.state, Upstream: c.upstream.Upstream, UpstreamBorn: c.upstream.Born, Slots: uint32(c.upstream.Slots),
-		Busy: uint32(c.flows.InSystem(now) + c.waitQueue.Len()), Idle: uint32(idle), Cold: c.upstream.coldUntil > now,
+		Busy: uint32(c.reportedBusy(now)), Idle: uint32(idle), Cold: c.upstream.coldUntil > now,
 		FlowsLeft: uint32(c.flowsLeft(now)), ServiceTimeMicros: uint32(min(c.reportedServiceTime(now).Microseconds(), math.MaxUint32)),
-		Waiting: c.recordedWaiting(),
+		Waiting: c.recordedWaiting(), Failing: c.isFailing(now),
 	}
 }
 
@@ -29,6 +29,7 @@
 	c.detectAbsence(now)
 	c.recordTick(now)
 	c.updateState(now)
+	c.updateEjection(now)
 	if c.upstream.resetFlowsAt != 0 && now >= c.upstream.resetFlowsAt {
 		c.upstream.resetFlowsAt = 0
 		c.resetAllFlows(now, "UpstreamLeft")
@@ -56,7 +57,7 @@
 func (c *Core) updateOwnLoad(now instant.Instant) {
 	_, idle := c.flows.Load()
 	c.loads.Update(c.Self, load.Report{
-		Slots: c.upstream.Slots, Busy: c.flows.InSystem(now) + c.waitQueue.Len(), Idle: idle, Cold: c.upstream.coldUntil > now,
+		Slots: c.upstream.Slots, Busy: c.reportedBusy(now), Idle: idle, Cold: c.upstream.coldUntil > now,
 		FlowsLeft: c.flowsLeft(now), ServiceTime: c.reportedServiceTime(now), Waiting: c.waiting(),
 	})
 }
@@ -169,7 +170,7 @@
 	}
 	idleChange := int(current.Idle) - int(l.record.Idle)
 	return current.State != l.record.State || current.Slots != l.record.Slots || current.Busy != l.record.Busy ||
-		current.Cold != l.record.Cold || current.FlowsLeft != l.record.FlowsLeft || max(idleChange, -idleChange) >= minIdleChange ||
+		current.Cold != l.record.Cold || current.FlowsLeft != l.record.FlowsLeft || current.Failing != l.record.Failing || max(idleChange, -idleChange) >= minIdleChange ||
 		!slices.Equal(current.Waiting, l.record.Waiting)
 }
 
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -30,6 +30,7 @@
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/admission"
+	"github.com/jaytack/jaytack/internal/relay/ejection"
 	"github.com/jaytack/jaytack/internal/relay/evacuation"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
@@ -147,6 +148,8 @@
 	// CrossDataCentreCost is set if traffic between data centres has a price, so that new
 	// flows leave theirs only while that pays.
 	CrossDataCentreCost bool
+	// EjectFailing is set if upstreams that fail requests get no new flows.
+	EjectFailing bool
 }
 
 // Heartbeat is an upstream's report about itself.
@@ -178,6 +181,9 @@
 	WarmUpWaited, WarmUpRedirected, WarmUpRefused int64
 	// PlacedLocally and PlacedRemotely count the flows placed by where the upstream is.
 	PlacedLocally, PlacedRemotely int64
+	// RequestsFailed counts the requests that the upstream has reset or not answered in time,
+	// Ejections how often it was ejected for that.
+	RequestsFailed, Ejections int64
 	// Held counts requests on open flows that were held, HeldByPriority those of them that
 	// were delivered, by priority with all lower ones in the last element, DeliveredLate those
 	// delivered after their target latency, DeliveredToQueue those delivered while no slot was
@@ -258,11 +264,14 @@
 	requests      *scheduling.Queue
 	// severalKinds is set if the last packet of the service said that it has several kinds of
 	// requests.
-	severalKinds    bool
-	loads           *load.Tracker
-	evacuations     evacuation.Table
-	locality        *locality.Controller
-	roundTrips      roundTrips
+	severalKinds bool
+	loads        *load.Tracker
+	evacuations  evacuation.Table
+	locality     *locality.Controller
+	roundTrips   roundTrips
+	ejection     *ejection.Detector
+	// ejectionState is the state that was last logged.
+	ejectionState   ejection.State
 	upstream        upstreamState
 	sequence        uint64
 	state           message.State
@@ -308,7 +317,9 @@
 		Config: cfg, Sample: load.Sample, OnWait: func(time.Duration) {}, OnHeld: func(time.Duration) {}, Members: membership.New(cfg.Self, cfg.DataCentre, cfg.Service),
 		owners: lookup.New(), disowned: make(map[flow.ID]instant.Instant), silentAgents: make(map[flow.IP]*silentAgent), flows: flowtable.New(), loads: load.New(), waitQueue: admission.New(), warmUp: warmup.New(cfg.Started),
 		locality: locality.New(), roundTrips: make(roundTrips), requests: scheduling.New(), loggedSpeed: 1,
+		ejection: ejection.New(),
 	}
+	c.flows.OnOutcome = c.recordOutcome
 	c.flows.OnDrop = c.dropHeld
 	c.updateState(0)
 	return c
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -46,6 +46,9 @@
 	if replaced || !c.upstream.hasHeartbeat {
 		c.flows.ResetSpeed()
 	}
+	if replaced {
+		c.ejection.Reset()
+	}
 	c.upstream.Heartbeat, c.upstream.hasHeartbeat = h, true
 	c.flows.SetSlots(c.slots())
 	c.upstream.lastHeartbeat, c.upstream.candidate = now, candidate{}
--- a/internal/relay/settings/settings.go
+++ b/internal/relay/settings/settings.go
@@ -55,6 +55,9 @@
 	// CrossDataCentreCost is set if traffic between data centres has a price, so that new
 	// flows leave theirs only while that pays.
 	CrossDataCentreCost bool
+	// EjectFailing is set if upstreams that fail requests while they say that they are well get
+	// no new flows.
+	EjectFailing bool
 }
 
 // Names is a list of names. Unlike a slice it can be compared with ==.
--- a/internal/standin/relay/process.go
+++ b/internal/standin/relay/process.go
@@ -22,7 +22,7 @@
 		p.Balancer = forwarding.New(forwarding.Config{Self: p.IP, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, FlowLifetime: flow.DefaultLifetime, Evacuations: w.EvacuateWithin > 0})
 	} else {
 		tick = serving.TickInterval
-		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime, WarmUp: w.WarmUp, CrossDataCentreCost: w.CrossDataCentreCost})
+		p.Agent = serving.New(serving.Config{Self: p.IP, Service: p.service, DataCentre: p.DataCentre, Incarnation: p.startCount, Codec: w.codec, Started: w.now, StartedMillis: w.Now().Milliseconds(), HeartbeatEvery: heartbeatInterval, FlowLifetime: flow.DefaultLifetime, WarmUp: w.WarmUp, CrossDataCentreCost: w.CrossDataCentreCost, EjectFailing: w.EjectFailing})
 		if w.Sample != nil {
 			p.Agent.Sample = w.Sample
 		}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -92,6 +92,8 @@
 	Sample func(hash uint64, candidates []load.Candidate) []load.Candidate
 	// CrossDataCentreCost makes new flows leave their data centre only while that pays.
 	CrossDataCentreCost bool
+	// EjectFailing makes upstreams that fail requests get no new flows.
+	EjectFailing bool
 	// HideServiceTimes removes the service times from all reports, so that placement does not
 	// know that upstreams differ.
 	HideServiceTimes bool
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -58,6 +58,9 @@
 	// ResetsUnknown makes the upstream answer packets of unknown flows with a reset,
 	// as after the end of a flow.
 	ResetsUnknown bool
+	// FailsRequests makes the upstream reset the flow of each request instead of running it,
+	// while its heartbeats say that it is well.
+	FailsRequests bool
 	// Ran counts requests that started to run, Shed those that were rejected.
 	Ran, Shed int
 	// RanRemotely counts those of Ran whose caller is in another data centre.
@@ -207,6 +210,9 @@
 	switch {
 	case h.Flags.Has(flow.Fin):
 		delete(u.flows, id)
+	case len(b) > headerLen && u.FailsRequests:
+		delete(u.flows, id)
+		u.send(header{Source: id.Address, Destination: id.Caller, Flags: flow.Rst, Seq: f.sequence + 1, Request: h.Request}.packet(0))
 	case len(b) > headerLen && !u.startedRequests[h.Request]:
 		u.admit(upstreamRequest{id, h.Request, u.w.sampleServiceTime(h.Request)})
 	case len(b) > headerLen && u.answered[h.Request]:
