Add checks of a configuration of relayed flows

Cause: faults in a configuration show only in the logs of the daemons once it is in force. A mistyped address then ends the open flows of its route.

Change: package validation decides what is wrong or doubtful in a configuration as it is written (Check), and what it changes compared with the version in force (Diff). It does no I/O and is in the list of the core.

Result: a table test changes one field of a valid configuration, whose limits are at their bounds, for each kind of finding.

--- a/core_test.go
+++ b/core_test.go
@@ -24,6 +24,7 @@
 	"internal/relay/warmup",
 	"internal/relay/speed",
 	"internal/relay/scheduling",
+	"internal/relay/validation",
 }
 
 // forbidden lists imports that bring input, output or a clock.
