--- a/core_test.go
+++ b/core_test.go
@@ -25,6 +25,7 @@
 	"internal/relay/speed",
 	"internal/relay/ejection",
 	"internal/relay/scheduling",
+	"internal/relay/validation",
 }
 
 // forbidden lists imports that bring input, output or a clock.
