--- a/cmd/jaytackd/check.go
+++ b/cmd/jaytack/check.go
@@ -23,6 +23,10 @@
 	exitProblems = 3
 )
 
+// checkName is the name of the command. It has a command line of its own beside those of package
+// command, whose programs do not know the platform's format.
+const checkName = "check"
+
 // checkCommand checks a configuration before it is sent to the store.
 type checkCommand struct {
 	File         string        `arg:"" type:"path" help:"Path of the configuration."`
@@ -74,10 +78,10 @@
 		}
 	}()
 	var c checkCommand
-	parser := kong.Must(&c, kong.Name("jaytackd check"), kong.Description("Checks a configuration before it is sent to the store."),
+	parser := kong.Must(&c, kong.Name("jaytack check"), kong.Description("Checks a configuration before it is sent to the store."),
 		kong.Writers(out, errOut), kong.Exit(func(code int) { panic(exitPanic(code)) }))
 	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintln(errOut, "jaytackd:", err)
+		fmt.Fprintln(errOut, "jaytack:", err)
 		return exitUsage
 	}
 	return c.run(out, errOut)
@@ -87,20 +91,20 @@
 func (c *checkCommand) run(out, errOut io.Writer) int {
 	value, err := os.ReadFile(c.File)
 	if err != nil {
-		fmt.Fprintln(errOut, "jaytackd:", err)
+		fmt.Fprintln(errOut, "jaytack:", err)
 		return exitFailed
 	}
 	draft := platform.DecodeForValidation(value)
 	findings := validation.Check(draft, c.FlowLifetime)
 	if c.InForce != "" {
 		if value, err = os.ReadFile(c.InForce); err != nil {
-			fmt.Fprintln(errOut, "jaytackd:", err)
+			fmt.Fprintln(errOut, "jaytack:", err)
 			return exitFailed
 		}
 		findings = append(findings, validation.Diff(platform.DecodeForValidation(value), draft)...)
 	}
 	if err := c.print(out, findings); err != nil {
-		fmt.Fprintln(errOut, "jaytackd:", err)
+		fmt.Fprintln(errOut, "jaytack:", err)
 		return exitFailed
 	}
 	if validation.HasErrors(findings) {
--- a/cmd/jaytack/main.go
+++ b/cmd/jaytack/main.go
@@ -8,5 +8,8 @@
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == checkName {
+		os.Exit(check(os.Args[2:], os.Stdout, os.Stderr))
+	}
 	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/jaytackd/main.go
+++ b/cmd/jaytackd/main.go
@@ -1,8 +1,7 @@
 // Command jaytackd is the daemon that relays flows: a balancer, or the agent
 // beside an upstream.
 //
-// It is a separate program from jaytack so that it contains only what it needs. Its command
-// check, for operators, has a command line of its own, which the daemons do not parse.
+// It is a separate program from jaytack so that it contains only what it needs.
 package main
 
 import (
@@ -41,11 +40,8 @@
 }
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "check" {
-		os.Exit(check(os.Args[2:], os.Stdout, os.Stderr))
-	}
 	var flags commandLine
-	ctx := kong.Parse(&flags, kong.Name("jaytackd"), kong.Description("Relays flows as a balancer or as an agent. The command check checks a configuration; see jaytackd check --help."))
+	ctx := kong.Parse(&flags, kong.Name("jaytackd"), kong.Description("Relays flows as a balancer or as an agent."))
 	if err := run(ctx.Command(), settingsPath(flags.Settings), flags.MetricsPort); err != nil {
 		fmt.Fprintln(os.Stderr, "jaytackd:", err)
 		os.Exit(1)
--- a/internal/role/command/command.go
+++ b/internal/role/command/command.go
@@ -87,7 +87,7 @@
 	}()
 	var cli commandLine
 	p, err := kong.New(&cli, kong.Name("jaytack"),
-		kong.Description("A layer-4 load balancer driven by one contract for each customer."),
+		kong.Description("A layer-4 load balancer driven by one contract for each customer. The command check FILE checks a configuration of relayed flows; see jaytack check --help."),
 		kong.Writers(out, errOut), kong.Exit(func(code int) { panic(exitPanic(code)) }), kong.UsageOnError())
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
