--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -278,8 +278,8 @@
 		s.retryDelay = min(2*d, startupRetryMax)
 		return d
 	}
-	d := s.retryDelay
-	s.retryDelay = min(2*s.retryDelay, retryMax)
+	d := max(s.retryDelay, retryMin)
+	s.retryDelay = min(2*d, retryMax)
 	return d
 }
 
--- a/internal/relay/configsync/syncer_test.go
+++ b/internal/relay/configsync/syncer_test.go
@@ -287,3 +287,23 @@
 	defer f.mu.Unlock()
 	qt.Assert(t, f.applied, qt.DeepEquals, []routes.Version{5, 8})
 }
+
+// TestFirstFailureOfTheStoreBacksOff guards against a balancer that calls a store which refuses its
+// calls without a pause, since it has not yet come to the end of a watch without an error.
+func TestFirstFailureOfTheStoreBacksOff(t *testing.T) {
+	t.Parallel()
+	for _, watches := range []bool{false, true} {
+		f := newFixture(t)
+		f.put("3")
+		syncer := f.start(watches)
+		f.waitForVersion(3, time.Second)
+		before := f.client.Calls.Failed.Load()
+		f.Store.SetFaults(storage.Faults{Down: true})
+		f.setPeer("", 0)
+		syncer.Refresh(peer, 4)
+		time.Sleep(time.Second)
+		// After 0, 100, 300 and 700 ms, and a watch.
+		calls := f.client.Calls.Failed.Load() - before
+		qt.Check(t, calls > 0 && calls <= 6, qt.IsTrue, qt.Commentf("%d calls in a second, watching %v", calls, watches))
+	}
+}
