Use only the service times of agents that report regularly

Agents announce changes of their state to all agents of the service, and an agent that leaves the overlay reports once more. Their service times then stayed in the group of the receiver until the member was gone, and one outside the dead band made an even group count as uneven.

--- a/internal/relay/serving/members.go
+++ b/internal/relay/serving/members.go
@@ -55,9 +55,15 @@
 		return
 	}
 	if r.Service == c.Service {
+		serviceTime := time.Duration(r.ServiceTimeMicros) * time.Microsecond
+		if report.IntervalMillis == 0 {
+			// No report says when the service time changes, and a stale one would count in
+			// the group's median for as long as the member lives.
+			serviceTime = 0
+		}
 		c.loads.Update(from, load.Report{
 			Slots: int(r.Slots), Busy: int(r.Busy), Idle: int(r.Idle), Cold: r.Cold, FlowsLeft: int(r.FlowsLeft),
-			ServiceTime: time.Duration(r.ServiceTimeMicros) * time.Microsecond, Waiting: waitingOf(r),
+			ServiceTime: serviceTime, Waiting: waitingOf(r),
 		})
 	}
 	c.handleMemberChanges(now)
