Reject no new flow for held requests that go after it

The admission queue counted all held requests as ahead of its last flow. When late requests filled the order of an overloaded upstream, an urgent flow that goes before all of them was rejected at once. The loads of TestOrderOfTwoKinds do not reach this limit; their results are unchanged.

--- a/internal/relay/admission/admission.go
+++ b/internal/relay/admission/admission.go
@@ -169,8 +169,11 @@
 		}
 	}
 	q.entries = append(q.entries, e)
-	expectedWait := time.Duration(float64(len(q.entries)+load.Held) / float64(max(load.Slots, 1)) * float64(load.ServiceTime))
-	if len(q.entries) <= MaxFlows && expectedWait <= flow.OpenTimeout {
+	fits := func(ahead int) bool {
+		wait := time.Duration(float64(ahead) / float64(max(load.Slots, 1)) * float64(load.ServiceTime))
+		return len(q.entries) <= MaxFlows && wait <= flow.OpenTimeout
+	}
+	if fits(len(q.entries) + load.Held) {
 		return nil
 	}
 	last := 0
@@ -179,6 +182,9 @@
 			last = i
 		}
 	}
+	if load.Ahead != nil && fits(len(q.entries)+load.Ahead(q.entries[last])) {
+		return nil
+	}
 	rejected = q.entries[last]
 	q.entries = slices.Delete(q.entries, last, last+1)
 	return rejected
--- a/internal/relay/admission/admission_test.go
+++ b/internal/relay/admission/admission_test.go
@@ -143,3 +143,20 @@
 		qt.Assert(t, e.Flow.Caller.IP, qt.Equals, flow.IP(want))
 	}
 }
+
+// TestHeldRequestsBehindAFlow guards against a flow that is rejected since many requests are held
+// that go after it: a burst of late requests would shut out urgent flows that can be in time.
+func TestHeldRequestsBehindAFlow(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		ahead    int
+		rejected bool
+	}{{"After", 0, false}, {"Before", 300, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			q, now, e, load := New(), 2000*ms, entry(1, 1990*ms, 0), upstreamLoad(4)
+			load.Held, load.Ahead = 300, func(*Entry) int { return test.ahead }
+			rejected := q.Add(now, e, load)
+			qt.Check(t, rejected == e, qt.Equals, test.rejected)
+		})
+	}
+}
