Log requests that wait shortly for a slot as routine

In a wave of demand each wait for a slot wrote two notable entries, which used up their rate limit and displaced those that explain resets and rejections.

--- a/internal/relay/serving/scheduling.go
+++ b/internal/relay/serving/scheduling.go
@@ -40,7 +40,7 @@
 	r := scheduling.NewRequest(c.newRequestEntry(now, f, m), p)
 	c.requests.Add(r)
 	c.Counts.Held++
-	c.LogNotable("RequestHeld", "Flow", f.ID, "Priority", r.Priority, "Age", now.Sub(r.FirstSentAt), "SlotsTaken", c.flows.SlotsTaken(now),
+	c.LogRoutine("RequestHeld", "Flow", f.ID, "Priority", r.Priority, "Age", now.Sub(r.FirstSentAt), "SlotsTaken", c.flows.SlotsTaken(now),
 		"Work", c.upstreamLoad(now).ServiceTime, "Held", c.requests.Len(), "Waiting", c.waitQueue.Len())
 	return true
 }
@@ -108,7 +108,13 @@
 		c.Counts.DeliveredToQueue++
 	}
 	c.OnHeld(waited)
-	c.LogNotable("HeldRequestDelivered", "Flow", r.Flow, "Reason", reason, "Priority", r.Priority, "Waited", waited, "Late", late, "Held", c.requests.Len())
+	log := c.LogNotable
+	if reason == "SlotFree" && !late {
+		// In a wave these are as frequent as requests and would displace the entries that
+		// explain failures.
+		log = c.LogRoutine
+	}
+	log("HeldRequestDelivered", "Flow", r.Flow, "Reason", reason, "Priority", r.Priority, "Waited", waited, "Late", late, "Held", c.requests.Len())
 	f := c.flows.Get(r.Flow)
 	if f != nil {
 		c.flows.SetSlowdown(c.slowdown(now))
--- a/internal/relay/serving/scheduling_test.go
+++ b/internal/relay/serving/scheduling_test.go
@@ -221,3 +221,24 @@
 		})
 	}
 }
+
+// TestHeldRequestsInTimeAreRoutine guards against a wave of demand in which entries about requests
+// that wait shortly use up the rate limit of the entries that explain failures.
+func TestHeldRequestsInTimeAreRoutine(t *testing.T) {
+	a := newBusyAgent(t, 4, true)
+	a.request(1, 4)
+	a.answer(1)
+	a.now = a.now.Add(300 * time.Millisecond)
+	a.Tick(a.now)
+	_, entries := a.TakeOutput()
+	got := make(map[string]action.Class)
+	for _, e := range entries {
+		if e.Event == "RequestHeld" {
+			got[e.Event] = e.Class
+		}
+		if e.Event == "HeldRequestDelivered" {
+			got[fmt.Sprint(e.Pairs[3])] = e.Class
+		}
+	}
+	qt.Check(t, got, qt.DeepEquals, map[string]action.Class{"RequestHeld": action.Routine, "SlotFree": action.Routine, "UpstreamState": action.Notable})
+}
