Hold no reset of a caller

A caller's reset with data counted as the start of a request and was held while more requests than slots were delivered, although its flow had left the table.

--- a/internal/relay/serving/scheduling.go
+++ b/internal/relay/serving/scheduling.go
@@ -33,7 +33,7 @@
 	case f.IsWaiting():
 		c.deliverRequest(now, c.requests.Remove(p.Flow), "Overflow")
 		return false
-	case !begins || !m.SeveralKinds || p.Flags.Has(flow.Fin) || !c.mayHold(now) || c.flows.SlotsTaken(now) <= c.slots():
+	case !begins || !m.SeveralKinds || p.Flags.Has(flow.Fin) || p.Flags.Has(flow.Rst) || !c.mayHold(now) || c.flows.SlotsTaken(now) <= c.slots():
 		return false
 	}
 	c.flows.Hold(f)
--- a/internal/relay/serving/scheduling_test.go
+++ b/internal/relay/serving/scheduling_test.go
@@ -151,6 +151,17 @@
 	}
 }
 
+// TestResetsAreNotHeld guards against a caller's reset with data that is held like a request: the
+// upstream would keep the flow, and the held packet would belong to no flow of the table.
+func TestResetsAreNotHeld(t *testing.T) {
+	a := newBusyAgent(t, 4, true)
+	a.request(1, 2)
+	a.fromCaller("last", 3, flow.Packet{Flags: flow.Ack | flow.Fin, Seq: 1, Len: 10})
+	qt.Assert(t, a.delivered(), qt.HasLen, 3, qt.Commentf("more requests than slots are delivered"))
+	a.fromCaller("reset", 4, flow.Packet{Flags: flow.Ack | flow.Rst, Seq: 1, Len: 10})
+	qt.Check(t, a.delivered(), qt.DeepEquals, []string{"reset-4"})
+}
+
 // TestFinFreesSlot guards against a slot that stays idle until the timeout of a request whose
 // caller has given up: its upstream sends no answer.
 func TestFinFreesSlot(t *testing.T) {
