Start the estimate of a speed from the median of a hundred requests

After a restart in an overload an agent took requests that its upstream shed at once for ones that had found a free slot.

--- a/internal/relay/speed/speed.go
+++ b/internal/relay/speed/speed.go
@@ -41,10 +41,11 @@
 	// spread of service times (the standard deviation of their logarithm is 0.5) the standard
 	// error is then about 5 %, so that even upstreams stay inside the dead band.
 	MinSamples = 100
-	// startSamples is the number of first observations whose median the estimate starts from. One
-	// that started from a single straggler would be too high for several hundred requests, since
-	// later steps are limited.
-	startSamples = 15
+	// startSamples is the number of first observations whose median the estimate starts from. A
+	// start from fewer would be wrong for several hundred requests, since later steps are limited:
+	// after a restart in an overload the agent takes the first requests, which the upstream sheds
+	// at once, for ones that found a free slot.
+	startSamples = MinSamples
 	// window is the number of requests over which the weight of an observation falls by a
 	// factor of e.
 	window = 200
--- a/internal/relay/speed/speed_test.go
+++ b/internal/relay/speed/speed_test.go
@@ -121,3 +121,17 @@
 	qt.Check(t, speed.Median([]time.Duration{30 * ms, 0, 10 * ms, 20 * ms}), qt.Equals, 20*ms)
 	qt.Check(t, speed.Median([]time.Duration{10 * ms, 20 * ms}), qt.Equals, 15*ms)
 }
+
+// TestShedRequestsAtTheStart guards against an upstream that counts as fast for hundreds of
+// requests, since it shed some of the first ones at once.
+func TestShedRequestsAtTheStart(t *testing.T) {
+	e := speed.New()
+	for i := range 20 {
+		e.Record(instant.Instant(i), time.Millisecond)
+	}
+	for i := range 100 {
+		e.Record(instant.Instant(i), 30*time.Millisecond)
+	}
+	got := e.Estimate(0).ServiceTime
+	qt.Assert(t, got > 25*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
+}
