Let flows leave if no local upstream has confirmed that it runs

Cause: after the loss of all processes, local agents that nobody had heard counted as upstreams that take flows, with four default slots and no requests. New flows stayed with them although confirmed remote ones were idle, and the group looked empty, so the share did not rise.

Change: only confirmed local candidates keep flows in the data centre, and an unconfirmed agent counts in no group. A unit test places flows beside an unheard local agent. The load patterns get one in which all processes end and the upstreams of dc-0 return 3 s after the others.

--- a/internal/relay/serving/locality.go
+++ b/internal/relay/serving/locality.go
@@ -71,18 +71,17 @@
 	}
 }
 
-// addToGroup adds an agent that takes new flows to the group of its data centre. Remote agents
-// count only once they have reported.
+// addToGroup adds an agent that takes new flows to the group of its data centre. Agents count
+// only once they have confirmed that their upstream is ready: after the loss of all processes
+// the others have an unknown load, and their upstreams may not be running.
 func (c *Core) addToGroup(now instant.Instant, groups map[string]*locality.Group, candidate load.Candidate) {
-	if candidate.LikelyDown || candidate.Remote && candidate.Unconfirmed {
+	if candidate.LikelyDown || candidate.Unconfirmed {
 		return
 	}
 	g, age := groups[c.DataCentre], time.Duration(0)
 	if m := c.Members.Member(candidate.Agent); m != nil && candidate.Agent != c.Self {
 		g = groups[m.DataCentre]
-		if !candidate.Unconfirmed {
-			age = now.Sub(m.LastReport)
-		}
+		age = now.Sub(m.LastReport)
 	}
 	slots, requests := c.loads.Demand(candidate.Agent)
 	g.Upstreams++
@@ -93,13 +92,14 @@
 
 // localise removes the remote candidates for which a new flow may not leave, and sets the
 // cost of the others. A flow that a local agent has turned down may leave at once, since it
-// would be refused otherwise, and so do all flows if no local upstream takes them. Flows of
-// other data centres, which have too few homes of their own, are placed by load.
+// would be refused otherwise, and so do all flows if no local upstream is known to take them,
+// for example while none has been heard after the loss of all processes. Flows of other data
+// centres, which have too few homes of their own, are placed by load.
 func (c *Core) localise(now instant.Instant, hash uint64, m *message.Carried, candidates []load.Candidate) []load.Candidate {
 	if !c.CrossDataCentreCost || m.DataCentre != c.DataCentre {
 		return candidates
 	}
-	mayLeave := len(m.Excluded) > 0 || !slices.ContainsFunc(candidates, func(x load.Candidate) bool { return !x.Remote && !x.LikelyDown && !x.NoFlowsLeft })
+	mayLeave := len(m.Excluded) > 0 || !slices.ContainsFunc(candidates, func(x load.Candidate) bool { return !x.Remote && isUsable(x) })
 	var out []load.Candidate
 	for _, x := range candidates {
 		if x.Remote {
--- a/internal/relay/serving/locality_test.go
+++ b/internal/relay/serving/locality_test.go
@@ -160,6 +160,13 @@
 		g.start()
 		qt.Assert(t, g.placeRemotely(flows, 1, 1, draining), qt.Equals, flows)
 	})
+	t.Run("LocalUnheard", func(t *testing.T) {
+		g := newGroup(true)
+		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 2, Slots: 4, Draining: true})
+		g.start()
+		g.run(3*time.Second, 0, 1, message.State_StateUnknown, 6*time.Millisecond)
+		qt.Assert(t, g.placeRemotely(flows, 0, 1, message.State_StateUnknown), qt.Equals, flows)
+	})
 	t.Run("TurnedDown", func(t *testing.T) {
 		g := newGroup(true)
 		g.start()
--- a/internal/standin/relay/locality_test.go
+++ b/internal/standin/relay/locality_test.go
@@ -66,6 +66,20 @@
 			}
 		})
 	}},
+	{name: "ReturnsLaterThanOthers", setUp: func(w *World) {
+		// All processes and upstreams end; the upstreams of dc-0 return 3 s after the others.
+		const downtime, later = 1500 * time.Millisecond, 4500 * time.Millisecond
+		w.At(troubleFrom, func() {
+			w.LosePower(downtime)
+			for _, p := range w.Agents {
+				if p.DataCentre == troubled {
+					// Ends the start that LosePower has scheduled.
+					w.after(downtime, p.Upstream.Crash)
+					w.after(later, p.Upstream.Start)
+				}
+			}
+		})
+	}},
 	{name: "DelayedReports", demand: func(at time.Duration) float64 {
 		if inTrouble(at) {
 			return 2.5
