Keep no leaving shares at an agent without an upstream

Cause: an agent whose upstream has left gets reports of remote peers only now and then. Its shares went from 1 (NoLocalUpstream) to 0 (NoReports) and back about once a second, with a lasting log line each time.

Change: such an agent drops its shares and computes none until an upstream starts. It still measures round trips, since it is the home if no agent has an upstream; all its flows may then leave anyway.

--- a/internal/relay/serving/locality.go
+++ b/internal/relay/serving/locality.go
@@ -45,12 +45,17 @@
 }
 
 // updateLocality recomputes the shares of new flows that may leave the data centre. It waits
-// after a pause of the process until the reports that arrived in it have been read.
+// after a pause of the process until the reports that arrived in it have been read. An agent
+// without an upstream is no home while others run, and hears few of its peers: it has no shares.
 func (c *Core) updateLocality(now instant.Instant) {
 	if !c.CrossDataCentreCost || c.resumedAt != 0 && now.Sub(c.resumedAt) < backlogPeriod {
 		return
 	}
 	c.sendRoundTripRequests(now)
+	if c.state == message.State_StateGone {
+		c.locality = locality.New()
+		return
+	}
 	groups := make(map[string]*locality.Group)
 	for _, name := range append(c.remoteDataCentres(), c.DataCentre) {
 		groups[name] = &locality.Group{}
--- a/internal/relay/serving/locality_test.go
+++ b/internal/relay/serving/locality_test.go
@@ -184,6 +184,33 @@
 	})
 }
 
+// TestAgentWithoutUpstreamHasNoShares guards against shares that flip, with a log line each, at
+// an agent whose upstream has left: it hears remote peers only now and then.
+func TestAgentWithoutUpstreamHasNoShares(t *testing.T) {
+	g := newGroup(true)
+	g.start()
+	g.run(6*time.Second, 40, 1, message.State_StateReady, 6*time.Millisecond)
+	qt.Assert(t, g.Locality(g.now)["b"].Share, qt.Equals, 1.0)
+	g.HandleLeave(g.now, "u")
+	g.TakeOutput()
+	changes := 0
+	for i := range 100 {
+		if i%20 == 0 {
+			g.report(remoteAgent, 1, message.State_StateReady)
+		}
+		g.Tick(g.now)
+		g.now = g.now.Add(serving.TickInterval)
+		_, entries := g.TakeOutput()
+		for _, e := range entries {
+			if e.Event == "LeavingShareChanged" {
+				changes++
+			}
+		}
+	}
+	qt.Assert(t, changes, qt.Equals, 0)
+	qt.Assert(t, g.Locality(g.now)["b"].Share, qt.Equals, 0.0)
+}
+
 // TestChoicesAreTheSameWithoutCost guards against a change of placements in deployments
 // without a price on traffic between data centres: each flow goes to the least loaded of two
 // local agents and a remote one, whose distance costs 0.15 request durations, and nobody is
