Keep the leaving share while no local upstream takes flows for a moment

Cause: one tick without a local upstream that takes flows, for example since the warm-up allowance is used up, set the share to 1 and cleared the average of the local load. The share then took about 3 s to return.

Change: share and average stay for the first 300 ms. All flows of such a moment leave regardless of the share. After 300 ms the share becomes 1 as before, so that upstreams which return cold do not get all flows at once.

--- a/internal/relay/locality/locality.go
+++ b/internal/relay/locality/locality.go
@@ -52,7 +52,8 @@
 	// reports between data centres.
 	minStepInterval = 150 * time.Millisecond
 	// onset is how long leaving must have paid before the first flows leave: the longest
-	// interval of reports between data centres, so that it has paid in two of them.
+	// interval of reports between data centres, so that it has paid in two of them. It is also
+	// how long no local upstream must have taken flows before the share becomes 1.
 	onset = 300 * time.Millisecond
 	// hold is the time after a rise in which a share does not fall: demand moves only as flows
 	// end and others open, within seconds. It bounds how often a share changes direction.
@@ -174,6 +175,9 @@
 type Controller struct {
 	local   average
 	remotes map[string]*dataCentre
+	// absentSince is since when no local upstream takes flows, valid if absent is set.
+	absentSince instant.Instant
+	absent      bool
 }
 
 // New returns a controller whose shares are 0.
@@ -199,11 +203,7 @@
 // Update recomputes the shares and returns those that have changed, in the order of the
 // inputs. Data centres that are not among the inputs have no reports.
 func (c *Controller) Update(now instant.Instant, in Inputs) []Change {
-	if in.Local.Upstreams == 0 {
-		c.local = average{smoothing: localSmoothing}
-	} else {
-		c.local.update(now, in.Local.load())
-	}
+	c.updateLocal(now, in.Local)
 	var changes []Change
 	listed := make(map[string]bool, len(in.Remotes))
 	for _, r := range in.Remotes {
@@ -225,6 +225,27 @@
 	return changes
 }
 
+// updateLocal updates the average of the local load. It keeps it while no local upstream takes
+// flows for a moment, for example since the warm-up allowance is used up.
+func (c *Controller) updateLocal(now instant.Instant, g Group) {
+	if g.Upstreams > 0 {
+		c.absent = false
+		c.local.update(now, g.load())
+		return
+	}
+	if !c.absent {
+		c.absent, c.absentSince = true, now
+	}
+	if c.isAbsent(now) {
+		c.local = average{smoothing: localSmoothing}
+	}
+}
+
+// isAbsent reports whether no local upstream has taken flows for more than a moment.
+func (c *Controller) isAbsent(now instant.Instant) bool {
+	return c.absent && now.Sub(c.absentSince) >= onset
+}
+
 // step updates the share of one data centre; ok is set if it has changed.
 func (c *Controller) step(now instant.Instant, in Inputs, r Remote, d *dataCentre) (change Change, ok bool) {
 	before := d.share
@@ -251,7 +272,9 @@
 	case r.Upstreams == 0 || r.Age > MaxAge:
 		d.share = 0
 		return NoReports
-	case in.Local.Upstreams == 0:
+	case c.absent && !c.isAbsent(now):
+		return ""
+	case c.absent:
 		d.share = 1
 		return NoLocalUpstream
 	case r.RoundTrip == 0:
--- a/internal/relay/locality/locality_test.go
+++ b/internal/relay/locality/locality_test.go
@@ -79,6 +79,13 @@
 			}
 			return in
 		}},
+		{"NoLocalUpstreamForATick", func(at time.Duration) locality.Inputs {
+			in := inputs(0.6, 0.6, 300*time.Millisecond)
+			if at == time.Second || at == 2*time.Second {
+				in.Local = locality.Group{}
+			}
+			return in
+		}},
 		{"CutOff", func(at time.Duration) locality.Inputs {
 			if at < 4*time.Second {
 				return inputs(4, 0.6, 300*time.Millisecond)
