Let flows leave for a data centre whose round trip is unknown

Cause: only balancers are asked for the round trip. A data centre without reachable balancers had none, and so got no flows however full the local one was. In placement an unknown round trip cost less than a known one.

Change: without a measurement, 50 ms or the longest known round trip counts while the agents of the data centre report, both for the share and in placement. Until there is a measurement the home asks every 200 ms.

--- a/internal/relay/serving/locality.go
+++ b/internal/relay/serving/locality.go
@@ -65,7 +65,7 @@
 	}
 	in := locality.Inputs{Local: *groups[c.DataCentre], ServiceTime: c.flows.ServiceTime()}
 	for _, name := range c.remoteDataCentres() {
-		roundTrip, age := c.roundTrips.get(now, name)
+		roundTrip, age := c.roundTrips.orAssumed(now, name)
 		in.Remotes = append(in.Remotes, locality.Remote{DataCentre: name, Group: *groups[name], RoundTrip: roundTrip, RoundTripAge: age})
 	}
 	for _, x := range c.locality.Update(now, in) {
@@ -112,7 +112,7 @@
 			if !mayLeave && !locality.Among(hash, c.locality.Share(name)) {
 				continue
 			}
-			roundTrip, _ := c.roundTrips.get(now, name)
+			roundTrip, _ := c.roundTrips.orAssumed(now, name)
 			x.Distance = float64(roundTrip) / float64(c.flows.ServiceTime())
 		}
 		out = append(out, x)
--- a/internal/relay/serving/locality_test.go
+++ b/internal/relay/serving/locality_test.go
@@ -154,6 +154,12 @@
 		g.run(6*time.Second, 40, 1, ready, 6*time.Millisecond)
 		qt.Assert(t, g.Locality(g.now)["b"], qt.Equals, serving.DataCentreSummary{Share: 1, RoundTripMillis: 6})
 	})
+	t.Run("ShortWithoutRemoteBalancers", func(t *testing.T) {
+		g := newGroup(true)
+		g.report(localBalancer, 0, ready)
+		g.run(6*time.Second, 40, 1, ready, 0)
+		qt.Assert(t, g.Locality(g.now)["b"], qt.Equals, serving.DataCentreSummary{Share: 1, RoundTripMillis: 0})
+	})
 	t.Run("LocalDrain", func(t *testing.T) {
 		g := newGroup(true)
 		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 2, Slots: 4, Draining: true})
@@ -289,6 +295,9 @@
 		g.start()
 		g.run(3*time.Second, 1, 1, ready, 0)
 		qt.Assert(t, roundTrip(g), qt.Equals, 0.0)
+		// Until there is a measurement, requests are sent five times a second.
+		g.takeRequests()
+		qt.Assert(t, len(g.requests) >= 14, qt.IsTrue, qt.Commentf("%d", len(g.requests)))
 		g.run(3*time.Second, 1, 1, ready, 6*time.Millisecond)
 		qt.Assert(t, roundTrip(g), qt.Equals, 6.0)
 		g.run(7*time.Second, 1, 1, ready, 0)
--- a/internal/relay/serving/roundtrip.go
+++ b/internal/relay/serving/roundtrip.go
@@ -10,15 +10,21 @@
 )
 
 const (
-	// roundTripInterval is the interval between two measurements of one data centre.
-	roundTripInterval = time.Second
+	// roundTripInterval is the interval between two measurements of one data centre,
+	// firstRoundTripInterval the one until enough of them are known.
+	roundTripInterval      = time.Second
+	firstRoundTripInterval = 200 * time.Millisecond
 	// roundTripSamples is the number of latest measurements whose median counts: two of them
 	// may be wrong, since a process paused or a report crossed the request.
 	roundTripSamples = 5
 	// maxRoundTrip is the longest time in which an answer counts; later ones tell of a pause.
 	maxRoundTrip = 500 * time.Millisecond
-	// maxRoundTripAge is the age from which on a measurement says nothing.
+	// maxRoundTripAge is the age from which on a measurement is not used.
 	maxRoundTripAge = 5 * time.Second
+	// assumedRoundTrip is used for a data centre without measurements, for example one whose
+	// balancers are down while its agents report: longer than usual between data centres of a
+	// region, and shorter than the target latencies of 200 ms and more.
+	assumedRoundTrip = 50 * time.Millisecond
 )
 
 // roundTrip holds the measurements of one data centre.
@@ -48,6 +54,20 @@
 	return slices.Sorted(slices.Values(r.samples))[len(r.samples)/2], now.Sub(r.sampleAt)
 }
 
+// orAssumed returns the round trip to a data centre, or if it is not known an assumed one that is
+// not shorter than any known one.
+func (t roundTrips) orAssumed(now instant.Instant, name string) (d, age time.Duration) {
+	if d, age = t.get(now, name); d > 0 {
+		return d, age
+	}
+	d = assumedRoundTrip
+	for other := range t {
+		known, _ := t.get(now, other)
+		d = max(d, known)
+	}
+	return d, 0
+}
+
 // sendRoundTripRequests asks one balancer of each other data centre for a report. Balancers
 // send agents no other reports but those of their own starts and stops, so that a report is
 // the answer; reports of agents may cross the request.
@@ -58,7 +78,11 @@
 			r = &roundTrip{}
 			c.roundTrips[name] = r
 		}
-		if r.requests > 0 && now.Sub(r.askedAt) < roundTripInterval {
+		interval := roundTripInterval
+		if d, _ := c.roundTrips.get(now, name); d == 0 {
+			interval = firstRoundTripInterval
+		}
+		if r.requests > 0 && now.Sub(r.askedAt) < interval {
 			continue
 		}
 		var balancers []flow.IP
