Keep flows in the data centre while local slots are free

Cause: the expected wait below one request per slot is the square of the load times the service time. With requests of 100 ms that exceeds the round trip and the margin at 0.9 requests per slot, so flows left although slots were free. The package comment said the opposite.

Change: the part of the wait that arises while slots are free counts for at most the round trip and the margin, so leaving cannot pay below one request per slot. Code and comment agree. Two patterns of slow requests, with and without free slots, are in the golden file; the figures of the others change by a few ms.

--- a/internal/relay/locality/locality.go
+++ b/internal/relay/locality/locality.go
@@ -8,9 +8,11 @@
 // the flow sooner and for less. The package therefore compares the upstreams of each data
 // centre as a group, with smoothed loads, and moves the share in bounded steps.
 //
-// The wait of a group is that of its requests if they were spread evenly: nothing while
-// there are no more of them than slots. Idle flows do not count; the demand that they stand
-// for shows in the requests of the last seconds.
+// The wait of a group is that of its requests if they were spread evenly. While there are no
+// more of them than slots, some still wait since others arrive at the same time, but for less
+// than leaving costs: flows do not leave while local slots are free, however long requests
+// take. Idle flows do not count; the demand that they stand for shows in the requests of the
+// last seconds.
 //
 // Loads of remote upstreams are some hundred milliseconds old. After a step the next one
 // waits until all of them are newer than it, so that the effect of the first is known.
@@ -254,7 +256,8 @@
 	} else {
 		d.load.update(now, r.load())
 	}
-	saved := wait(c.local.value, in.ServiceTime) - wait(d.load.value, in.ServiceTime)
+	cost := r.RoundTrip + Margin
+	saved := wait(c.local.value, in.ServiceTime, cost) - wait(d.load.value, in.ServiceTime, cost)
 	reason := c.decide(now, in, r, d, saved)
 	if d.share == before {
 		return Change{}, false
@@ -305,7 +308,10 @@
 }
 
 // wait returns the expected wait of a request at upstreams that share their load evenly, by
-// the same estimate as the choice between two upstreams.
-func wait(l Load, serviceTime time.Duration) time.Duration {
-	return time.Duration(load.ExpectedWait(float64(l)) * float64(serviceTime))
+// the same estimate as the choice between two upstreams. The part of it that arises while slots
+// are free is limited to maxFree: with requests of 100 ms it would exceed the cost of leaving.
+func wait(l Load, serviceTime, maxFree time.Duration) time.Duration {
+	free := load.ExpectedWait(min(float64(l), 1))
+	queued := load.ExpectedWait(float64(l)) - free
+	return time.Duration(free*float64(min(serviceTime, maxFree)) + queued*float64(serviceTime))
 }
--- a/internal/relay/locality/locality_test.go
+++ b/internal/relay/locality/locality_test.go
@@ -106,6 +106,16 @@
 			}
 			return in
 		}},
+		{"SlowRequestsWithFreeSlots", func(time.Duration) locality.Inputs {
+			in := inputs(0.9, 0.1, 300*time.Millisecond)
+			in.ServiceTime = 100 * time.Millisecond
+			return in
+		}},
+		{"SlowRequestsWithoutFreeSlots", func(time.Duration) locality.Inputs {
+			in := inputs(1.5, 0.1, 300*time.Millisecond)
+			in.ServiceTime = 100 * time.Millisecond
+			return in
+		}},
 		{"TooFarAway", func(time.Duration) locality.Inputs {
 			in := inputs(4, 0.6, 300*time.Millisecond)
 			in.Remotes[0].RoundTrip = 200 * time.Millisecond
