Start the averages of loads anew after a pause

Cause: the weight of a load grows with the time since the last update. After a pause of the process one load almost replaced the average, and leaving counted as paying since before the pause, so one update could cause a step.

Change: after 500 ms without an update the averages, the onset and the time without local upstreams start anew.

--- a/internal/relay/locality/locality.go
+++ b/internal/relay/locality/locality.go
@@ -63,6 +63,10 @@
 	// MaxAge is the age of the reports of a data centre from which on it gets no flows: two
 	// intervals of reports between data centres.
 	MaxAge = 600 * time.Millisecond
+	// maxGap is the time without an update after which averages start anew. Otherwise the first
+	// loads after a pause would count as those of the whole pause, and a single update could
+	// cause a step.
+	maxGap = 500 * time.Millisecond
 	// localSmoothing and remoteSmoothing are the time constants of the averages of loads:
 	// several times the duration of a request and longer than a burst of new flows. A home
 	// knows only a few of the upstreams of another data centre, whose load varies more.
@@ -150,7 +154,7 @@
 func (a *average) isSettled() bool { return a.valid && a.updatedAt.Sub(a.since) >= localSmoothing }
 
 func (a *average) update(now instant.Instant, value Load) {
-	if !a.valid {
+	if !a.valid || now.Sub(a.updatedAt) > maxGap {
 		*a = average{a.smoothing, value, now, now, true}
 		return
 	}
@@ -175,8 +179,9 @@
 
 // Controller holds the shares of one home.
 type Controller struct {
-	local   average
-	remotes map[string]*dataCentre
+	local     average
+	remotes   map[string]*dataCentre
+	updatedAt instant.Instant
 	// absentSince is since when no local upstream takes flows, valid if absent is set.
 	absentSince instant.Instant
 	absent      bool
@@ -205,6 +210,13 @@
 // Update recomputes the shares and returns those that have changed, in the order of the
 // inputs. Data centres that are not among the inputs have no reports.
 func (c *Controller) Update(now instant.Instant, in Inputs) []Change {
+	if now.Sub(c.updatedAt) > maxGap {
+		for _, d := range c.remotes {
+			d.pays = false
+		}
+		c.absent = false
+	}
+	c.updatedAt = now
 	c.updateLocal(now, in.Local)
 	var changes []Change
 	listed := make(map[string]bool, len(in.Remotes))
--- a/internal/relay/locality/locality_test.go
+++ b/internal/relay/locality/locality_test.go
@@ -196,6 +196,27 @@
 	return g, name, micros(rt)
 }
 
+// TestPauseStartsAveragesAnew guards against a step that follows from a single update after a
+// pause of the process.
+func TestPauseStartsAveragesAnew(t *testing.T) {
+	const pausedAt, resumedAt = 3 * time.Second, 5 * time.Second
+	c := locality.New()
+	for at := tick; at <= 8*time.Second; at += tick {
+		if at > pausedAt && at < resumedAt {
+			continue
+		}
+		in := inputs(0.6, 0.6, 300*time.Millisecond)
+		if at >= pausedAt {
+			in = inputs(4, 0.6, 300*time.Millisecond)
+		}
+		c.Update(instant.Instant(at), in)
+		if at < resumedAt+500*time.Millisecond {
+			qt.Assert(t, c.Share("b"), qt.Equals, locality.Share(0), qt.Commentf("%v", at))
+		}
+	}
+	qt.Assert(t, c.Share("b"), qt.Equals, locality.Share(1))
+}
+
 // TestSwingsAreBounded guards against a share that oscillates because its effect shows late:
 // a closed loop in which local demand is 1.6 times the slots, flows live for a second, and
 // loads of the other data centre are seen after a delay.
