Use the usual terms in the notes on leaving the data centre

Cause: some comments and headings used figurative words.

Change: the lot of a flow is its threshold hash, Among is MayLeave, and the figurative phrases are replaced. No behaviour changes.

Result: tests of locality and serving and TestLeavingUnderLoadPatterns pass.

--- a/internal/relay/locality/locality.go
+++ b/internal/relay/locality/locality.go
@@ -21,7 +21,7 @@
 //
 //	c := locality.New()
 //	changes := c.Update(now, locality.Inputs{Local: local, Remotes: remotes, ServiceTime: 25 * time.Millisecond})
-//	if locality.Among(id.Hash(), c.Share("b")) {
+//	if locality.MayLeave(id.Hash(), c.Share("b")) {
 //		// The flow may go to an upstream of data centre b.
 //	}
 //
@@ -72,9 +72,9 @@
 	// knows only a few of the upstreams of another data centre, whose load varies more.
 	localSmoothing  = 500 * time.Millisecond
 	remoteSmoothing = time.Second
-	// lotSeed makes the lot of a flow independent of the choices of its home and its upstream,
+	// thresholdSeed makes the threshold hash of a flow independent of the choices of its home and its upstream,
 	// which use the same hash with addresses of agents.
-	lotSeed flow.IP = math.MaxUint32
+	thresholdSeed flow.IP = math.MaxUint32
 )
 
 // Share is a share of new flows, from 0 to 1.
@@ -200,11 +200,11 @@
 	return 0
 }
 
-// Among reports whether a flow is among a share of flows. A flow that is among one share is
+// MayLeave reports whether a flow is among a share of flows. A flow that is among one share is
 // among all larger ones, at all homes.
-func Among(hash uint64, s Share) bool {
+func MayLeave(hash uint64, s Share) bool {
 	const bits = 53
-	return float64(flow.RendezvousWeight(hash, lotSeed)>>(64-bits)) < float64(s)*(1<<bits)
+	return float64(flow.RendezvousWeight(hash, thresholdSeed)>>(64-bits)) < float64(s)*(1<<bits)
 }
 
 // Update recomputes the shares and returns those that have changed, in the order of the
--- a/internal/relay/locality/locality_test.go
+++ b/internal/relay/locality/locality_test.go
@@ -260,9 +260,9 @@
 		n := 0
 		for i := range uint64(flows) {
 			hash := i * 0x9e3779b97f4a7c15
-			if locality.Among(hash, share) {
+			if locality.MayLeave(hash, share) {
 				n++
-				qt.Assert(t, locality.Among(hash, share+0.1), qt.IsTrue)
+				qt.Assert(t, locality.MayLeave(hash, share+0.1), qt.IsTrue)
 			}
 		}
 		got := float64(n) / flows
--- a/internal/relay/serving/locality.go
+++ b/internal/relay/serving/locality.go
@@ -109,7 +109,7 @@
 	for _, x := range candidates {
 		if x.Remote {
 			name := c.Members.Member(x.Agent).DataCentre
-			if !mayLeave && !locality.Among(hash, c.locality.Share(name)) {
+			if !mayLeave && !locality.MayLeave(hash, c.locality.Share(name)) {
 				continue
 			}
 			roundTrip, _ := c.roundTrips.orAssumed(now, name)
--- a/internal/relay/serving/roundtrip.go
+++ b/internal/relay/serving/roundtrip.go
@@ -17,7 +17,7 @@
 	// roundTripSamples is the number of latest measurements whose median counts: two of them
 	// may be wrong, since a process paused or a report crossed the request.
 	roundTripSamples = 5
-	// maxRoundTrip is the longest time in which an answer counts; later ones tell of a pause.
+	// maxRoundTrip is the longest time in which an answer counts; later ones follow from a pause.
 	maxRoundTrip = 500 * time.Millisecond
 	// maxRoundTripAge is the age from which on a measurement is not used.
 	maxRoundTripAge = 5 * time.Second
@@ -95,7 +95,7 @@
 			continue
 		}
 		// Homes start at different balancers and change to the next one each time, so that
-		// one that is paused or cut off spoils few measurements.
+		// one that is paused or cut off affects few measurements.
 		to := balancers[(uint64(c.Self)+uint64(r.requests))%uint64(len(balancers))]
 		r.doubtful = r.pending && r.asked == to
 		r.asked, r.askedAt, r.pending = to, now, true
--- a/internal/standin/relay/locality_test.go
+++ b/internal/standin/relay/locality_test.go
@@ -246,7 +246,7 @@
 	h.known, h.rising = true, rises
 }
 
-// TestLeavingUnderLoadPatterns guards against flows that leave their data centre in vain, late
+// TestLeavingUnderLoadPatterns guards against flows that leave their data centre without need, late
 // requests because flows cannot leave, and shares that oscillate.
 func TestLeavingUnderLoadPatterns(t *testing.T) {
 	const (
