--- a/internal/relay/locality/locality.go
+++ b/internal/relay/locality/locality.go
@@ -8,9 +8,11 @@
 // the flow sooner and for less. The package therefore compares the upstreams of each data
 // centre as a group, with smoothed loads, and moves the share in bounded steps.
 //
-// The wait of a group is that of its requests if they were spread evenly: nothing while
-// there are no more of them than slots. Idle flows do not count; the demand that they stand
-// for shows in the requests of the last seconds.
+// The wait of a group is that of its requests if they were spread evenly. While there are no
+// more of them than slots, some still wait since others arrive at the same time, but for less
+// than leaving costs: flows do not leave while local slots are free, however long requests
+// take. Idle flows do not count; the demand that they stand for shows in the requests of the
+// last seconds.
 //
 // Loads of remote upstreams are some hundred milliseconds old. After a step the next one
 // waits until all of them are newer than it, so that the effect of the first is known.
@@ -19,7 +21,7 @@
 //
 //	c := locality.New()
 //	changes := c.Update(now, locality.Inputs{Local: local, Remotes: remotes, ServiceTime: 25 * time.Millisecond})
-//	if locality.Among(id.Hash(), c.Share("b")) {
+//	if locality.MayLeave(id.Hash(), c.Share("b")) {
 //		// The flow may go to an upstream of data centre b.
 //	}
 //
@@ -52,7 +54,8 @@
 	// reports between data centres.
 	minStepInterval = 150 * time.Millisecond
 	// onset is how long leaving must have paid before the first flows leave: the longest
-	// interval of reports between data centres, so that it has paid in two of them.
+	// interval of reports between data centres, so that it has paid in two of them. It is also
+	// how long no local upstream must have taken flows before the share becomes 1.
 	onset = 300 * time.Millisecond
 	// hold is the time after a rise in which a share does not fall: demand moves only as flows
 	// end and others open, within seconds. It bounds how often a share changes direction.
@@ -60,14 +63,18 @@
 	// MaxAge is the age of the reports of a data centre from which on it gets no flows: two
 	// intervals of reports between data centres.
 	MaxAge = 600 * time.Millisecond
+	// maxGap is the time without an update after which averages start anew. Otherwise the first
+	// loads after a pause would count as those of the whole pause, and a single update could
+	// cause a step.
+	maxGap = 500 * time.Millisecond
 	// localSmoothing and remoteSmoothing are the time constants of the averages of loads:
 	// several times the duration of a request and longer than a burst of new flows. A home
 	// knows only a few of the upstreams of another data centre, whose load varies more.
 	localSmoothing  = 500 * time.Millisecond
 	remoteSmoothing = time.Second
-	// lotSeed makes the lot of a flow independent of the choices of its home and its upstream,
+	// thresholdSeed makes the threshold hash of a flow independent of the choices of its home and its upstream,
 	// which use the same hash with addresses of agents.
-	lotSeed flow.IP = math.MaxUint32
+	thresholdSeed flow.IP = math.MaxUint32
 )
 
 // Share is a share of new flows, from 0 to 1.
@@ -147,7 +154,7 @@
 func (a *average) isSettled() bool { return a.valid && a.updatedAt.Sub(a.since) >= localSmoothing }
 
 func (a *average) update(now instant.Instant, value Load) {
-	if !a.valid {
+	if !a.valid || now.Sub(a.updatedAt) > maxGap {
 		*a = average{a.smoothing, value, now, now, true}
 		return
 	}
@@ -172,8 +179,12 @@
 
 // Controller holds the shares of one home.
 type Controller struct {
-	local   average
-	remotes map[string]*dataCentre
+	local     average
+	remotes   map[string]*dataCentre
+	updatedAt instant.Instant
+	// absentSince is since when no local upstream takes flows, valid if absent is set.
+	absentSince instant.Instant
+	absent      bool
 }
 
 // New returns a controller whose shares are 0.
@@ -189,21 +200,24 @@
 	return 0
 }
 
-// Among reports whether a flow is among a share of flows. A flow that is among one share is
+// MayLeave reports whether a flow is among a share of flows. A flow that is among one share is
 // among all larger ones, at all homes.
-func Among(hash uint64, s Share) bool {
+func MayLeave(hash uint64, s Share) bool {
 	const bits = 53
-	return float64(flow.RendezvousWeight(hash, lotSeed)>>(64-bits)) < float64(s)*(1<<bits)
+	return float64(flow.RendezvousWeight(hash, thresholdSeed)>>(64-bits)) < float64(s)*(1<<bits)
 }
 
 // Update recomputes the shares and returns those that have changed, in the order of the
 // inputs. Data centres that are not among the inputs have no reports.
 func (c *Controller) Update(now instant.Instant, in Inputs) []Change {
-	if in.Local.Upstreams == 0 {
-		c.local = average{smoothing: localSmoothing}
-	} else {
-		c.local.update(now, in.Local.load())
+	if now.Sub(c.updatedAt) > maxGap {
+		for _, d := range c.remotes {
+			d.pays = false
+		}
+		c.absent = false
 	}
+	c.updatedAt = now
+	c.updateLocal(now, in.Local)
 	var changes []Change
 	listed := make(map[string]bool, len(in.Remotes))
 	for _, r := range in.Remotes {
@@ -225,6 +239,27 @@
 	return changes
 }
 
+// updateLocal updates the average of the local load. It keeps it while no local upstream takes
+// flows for a moment, for example since the warm-up allowance is used up.
+func (c *Controller) updateLocal(now instant.Instant, g Group) {
+	if g.Upstreams > 0 {
+		c.absent = false
+		c.local.update(now, g.load())
+		return
+	}
+	if !c.absent {
+		c.absent, c.absentSince = true, now
+	}
+	if c.isAbsent(now) {
+		c.local = average{smoothing: localSmoothing}
+	}
+}
+
+// isAbsent reports whether no local upstream has taken flows for more than a moment.
+func (c *Controller) isAbsent(now instant.Instant) bool {
+	return c.absent && now.Sub(c.absentSince) >= onset
+}
+
 // step updates the share of one data centre; ok is set if it has changed.
 func (c *Controller) step(now instant.Instant, in Inputs, r Remote, d *dataCentre) (change Change, ok bool) {
 	before := d.share
@@ -233,7 +268,8 @@
 	} else {
 		d.load.update(now, r.load())
 	}
-	saved := wait(c.local.value, in.ServiceTime) - wait(d.load.value, in.ServiceTime)
+	cost := r.RoundTrip + Margin
+	saved := wait(c.local.value, in.ServiceTime, cost) - wait(d.load.value, in.ServiceTime, cost)
 	reason := c.decide(now, in, r, d, saved)
 	if d.share == before {
 		return Change{}, false
@@ -251,7 +287,9 @@
 	case r.Upstreams == 0 || r.Age > MaxAge:
 		d.share = 0
 		return NoReports
-	case in.Local.Upstreams == 0:
+	case c.absent && !c.isAbsent(now):
+		return ""
+	case c.absent:
 		d.share = 1
 		return NoLocalUpstream
 	case r.RoundTrip == 0:
@@ -282,7 +320,10 @@
 }
 
 // wait returns the expected wait of a request at upstreams that share their load evenly, by
-// the same estimate as the choice between two upstreams.
-func wait(l Load, serviceTime time.Duration) time.Duration {
-	return time.Duration(load.ExpectedWait(float64(l)) * float64(serviceTime))
+// the same estimate as the choice between two upstreams. The part of it that arises while slots
+// are free is limited to maxFree: with requests of 100 ms it would exceed the cost of leaving.
+func wait(l Load, serviceTime, maxFree time.Duration) time.Duration {
+	free := load.ExpectedWait(min(float64(l), 1))
+	queued := load.ExpectedWait(float64(l)) - free
+	return time.Duration(free*float64(min(serviceTime, maxFree)) + queued*float64(serviceTime))
 }
--- a/internal/relay/locality/locality_test.go
+++ b/internal/relay/locality/locality_test.go
@@ -79,6 +79,13 @@
 			}
 			return in
 		}},
+		{"NoLocalUpstreamForATick", func(at time.Duration) locality.Inputs {
+			in := inputs(0.6, 0.6, 300*time.Millisecond)
+			if at == time.Second || at == 2*time.Second {
+				in.Local = locality.Group{}
+			}
+			return in
+		}},
 		{"CutOff", func(at time.Duration) locality.Inputs {
 			if at < 4*time.Second {
 				return inputs(4, 0.6, 300*time.Millisecond)
@@ -99,6 +106,16 @@
 			}
 			return in
 		}},
+		{"SlowRequestsWithFreeSlots", func(time.Duration) locality.Inputs {
+			in := inputs(0.9, 0.1, 300*time.Millisecond)
+			in.ServiceTime = 100 * time.Millisecond
+			return in
+		}},
+		{"SlowRequestsWithoutFreeSlots", func(time.Duration) locality.Inputs {
+			in := inputs(1.5, 0.1, 300*time.Millisecond)
+			in.ServiceTime = 100 * time.Millisecond
+			return in
+		}},
 		{"TooFarAway", func(time.Duration) locality.Inputs {
 			in := inputs(4, 0.6, 300*time.Millisecond)
 			in.Remotes[0].RoundTrip = 200 * time.Millisecond
@@ -179,6 +196,27 @@
 	return g, name, micros(rt)
 }
 
+// TestPauseStartsAveragesAnew guards against a step that follows from a single update after a
+// pause of the process.
+func TestPauseStartsAveragesAnew(t *testing.T) {
+	const pausedAt, resumedAt = 3 * time.Second, 5 * time.Second
+	c := locality.New()
+	for at := tick; at <= 8*time.Second; at += tick {
+		if at > pausedAt && at < resumedAt {
+			continue
+		}
+		in := inputs(0.6, 0.6, 300*time.Millisecond)
+		if at >= pausedAt {
+			in = inputs(4, 0.6, 300*time.Millisecond)
+		}
+		c.Update(instant.Instant(at), in)
+		if at < resumedAt+500*time.Millisecond {
+			qt.Assert(t, c.Share("b"), qt.Equals, locality.Share(0), qt.Commentf("%v", at))
+		}
+	}
+	qt.Assert(t, c.Share("b"), qt.Equals, locality.Share(1))
+}
+
 // TestSwingsAreBounded guards against a share that oscillates because its effect shows late:
 // a closed loop in which local demand is 1.6 times the slots, flows live for a second, and
 // loads of the other data centre are seen after a delay.
@@ -222,9 +260,9 @@
 		n := 0
 		for i := range uint64(flows) {
 			hash := i * 0x9e3779b97f4a7c15
-			if locality.Among(hash, share) {
+			if locality.MayLeave(hash, share) {
 				n++
-				qt.Assert(t, locality.Among(hash, share+0.1), qt.IsTrue)
+				qt.Assert(t, locality.MayLeave(hash, share+0.1), qt.IsTrue)
 			}
 		}
 		got := float64(n) / flows
--- a/internal/relay/serving/locality_test.go
+++ b/internal/relay/serving/locality_test.go
@@ -154,12 +154,25 @@
 		g.run(6*time.Second, 40, 1, ready, 6*time.Millisecond)
 		qt.Assert(t, g.Locality(g.now)["b"], qt.Equals, serving.DataCentreSummary{Share: 1, RoundTripMillis: 6})
 	})
+	t.Run("ShortWithoutRemoteBalancers", func(t *testing.T) {
+		g := newGroup(true)
+		g.report(localBalancer, 0, ready)
+		g.run(6*time.Second, 40, 1, ready, 0)
+		qt.Assert(t, g.Locality(g.now)["b"], qt.Equals, serving.DataCentreSummary{Share: 1, RoundTripMillis: 0})
+	})
 	t.Run("LocalDrain", func(t *testing.T) {
 		g := newGroup(true)
 		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 2, Slots: 4, Draining: true})
 		g.start()
 		qt.Assert(t, g.placeRemotely(flows, 1, 1, draining), qt.Equals, flows)
 	})
+	t.Run("LocalUnheard", func(t *testing.T) {
+		g := newGroup(true)
+		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 2, Slots: 4, Draining: true})
+		g.start()
+		g.run(3*time.Second, 0, 1, message.State_StateUnknown, 6*time.Millisecond)
+		qt.Assert(t, g.placeRemotely(flows, 0, 1, message.State_StateUnknown), qt.Equals, flows)
+	})
 	t.Run("TurnedDown", func(t *testing.T) {
 		g := newGroup(true)
 		g.start()
@@ -177,6 +190,33 @@
 	})
 }
 
+// TestAgentWithoutUpstreamHasNoShares guards against shares that flip, with a log line each, at
+// an agent whose upstream has left: it hears remote peers only now and then.
+func TestAgentWithoutUpstreamHasNoShares(t *testing.T) {
+	g := newGroup(true)
+	g.start()
+	g.run(6*time.Second, 40, 1, message.State_StateReady, 6*time.Millisecond)
+	qt.Assert(t, g.Locality(g.now)["b"].Share, qt.Equals, 1.0)
+	g.HandleLeave(g.now, "u")
+	g.TakeOutput()
+	changes := 0
+	for i := range 100 {
+		if i%20 == 0 {
+			g.report(remoteAgent, 1, message.State_StateReady)
+		}
+		g.Tick(g.now)
+		g.now = g.now.Add(serving.TickInterval)
+		_, entries := g.TakeOutput()
+		for _, e := range entries {
+			if e.Event == "LeavingShareChanged" {
+				changes++
+			}
+		}
+	}
+	qt.Assert(t, changes, qt.Equals, 0)
+	qt.Assert(t, g.Locality(g.now)["b"].Share, qt.Equals, 0.0)
+}
+
 // TestChoicesAreTheSameWithoutCost guards against a change of placements in deployments
 // without a price on traffic between data centres: each flow goes to the least loaded of two
 // local agents and a remote one, whose distance costs 0.15 request durations, and nobody is
@@ -255,6 +295,9 @@
 		g.start()
 		g.run(3*time.Second, 1, 1, ready, 0)
 		qt.Assert(t, roundTrip(g), qt.Equals, 0.0)
+		// Until there is a measurement, requests are sent five times a second.
+		g.takeRequests()
+		qt.Assert(t, len(g.requests) >= 14, qt.IsTrue, qt.Commentf("%d", len(g.requests)))
 		g.run(3*time.Second, 1, 1, ready, 6*time.Millisecond)
 		qt.Assert(t, roundTrip(g), qt.Equals, 6.0)
 		g.run(7*time.Second, 1, 1, ready, 0)
