--- a/internal/relay/serving/locality.go
+++ b/internal/relay/serving/locality.go
@@ -95,12 +95,12 @@
 	g.Age = max(g.Age, age)
 }
 
-// localise removes the remote candidates for which a new flow may not leave, and sets the
+// filterRemote removes the remote candidates for which a new flow may not leave, and sets the
 // cost of the others. A flow that a local agent has turned down may leave at once, since it
 // would be refused otherwise, and so do all flows if no local upstream is known to take them,
 // for example while none has been heard after the loss of all processes. Flows of other data
 // centres, which have too few homes of their own, are placed by load.
-func (c *Core) localise(now instant.Instant, hash uint64, m *message.Carried, candidates []load.Candidate) []load.Candidate {
+func (c *Core) filterRemote(now instant.Instant, hash uint64, m *message.Carried, candidates []load.Candidate) []load.Candidate {
 	if !c.CrossDataCentreCost || m.DataCentre != c.DataCentre {
 		return candidates
 	}
--- a/internal/relay/serving/place.go
+++ b/internal/relay/serving/place.go
@@ -37,7 +37,7 @@
 	if c.delegatePlacement(now, p, m, all) {
 		return
 	}
-	candidates := c.Sample(p.Flow.Hash(), c.localise(now, p.Flow.Hash(), m, all))
+	candidates := c.Sample(p.Flow.Hash(), c.filterRemote(now, p.Flow.Hash(), m, all))
 	to, ok := c.loads.Choose(candidates)
 	if !ok || len(m.Excluded) >= maxPlacements {
 		c.refuse(now, p, m, c.refusalReason("NoUpstreamTakesFlows"))
--- a/internal/relay/serving/roundtrip.go
+++ b/internal/relay/serving/roundtrip.go
@@ -35,8 +35,9 @@
 	pending bool
 	// doubtful is set if the answer may be one to an earlier request.
 	doubtful bool
-	// samples holds the latest measurements, the oldest first.
+	// samples holds the latest measurements, the oldest first, median their median.
 	samples  []time.Duration
+	median   time.Duration
 	sampleAt instant.Instant
 	requests int
 }
@@ -51,7 +52,7 @@
 	if r == nil || len(r.samples) == 0 || now.Sub(r.sampleAt) > maxRoundTripAge {
 		return 0, 0
 	}
-	return slices.Sorted(slices.Values(r.samples))[len(r.samples)/2], now.Sub(r.sampleAt)
+	return r.median, now.Sub(r.sampleAt)
 }
 
 // orAssumed returns the round trip to a data centre, or if it is not known an assumed one that is
@@ -124,5 +125,5 @@
 	if len(r.samples) > roundTripSamples {
 		r.samples = slices.Delete(r.samples, 0, 1)
 	}
-	r.sampleAt = now
+	r.median, r.sampleAt = slices.Sorted(slices.Values(r.samples))[len(r.samples)/2], now
 }
