Deliver late copies of open flows in an evacuated data centre

An agent in an evacuated data centre forwarded a copy of a first packet more than 1.4 s after the first one, also if its upstream held the flow. The home reset the flow (AllEvacuated), although its request ran, or placed it a second time. The agent now delivers such a copy for as long as the flow is accepted and has not ended. An agent that may not know all flows of its upstream marks what it forwards as perhaps open, so that the home drops it instead.

TestLateCopyOfAnOpenFlow and TestRestartedAgentForwardsACopy failed before.

--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -394,6 +394,9 @@
 // the open flow, or the caller has acknowledged that it accepted the flow.
 func (f *Flow) IsHeld() bool { return f.Phase == Open || f.acknowledged }
 
+// HasEnded reports whether both ends have finished the flow.
+func (f *Flow) HasEnded() bool { return f.callerFinished && f.upstreamFinished }
+
 // RecordCallerPacket records the delivery of a caller's packet other than the first.
 func (t *Table) RecordCallerPacket(now instant.Instant, p flow.Packet) *Flow {
 	f := t.getOrCreate(now, p.Flow, Unconfirmed)
@@ -459,7 +462,7 @@
 		t.expireRequest(now, f)
 		idleTimeout := OpenIdleTimeout
 		switch {
-		case f.upstreamFinished && f.callerFinished:
+		case f.HasEnded():
 			idleTimeout = endedIdleTimeout
 		case f.Phase < Accepted:
 			idleTimeout = OpeningIdleTimeout
--- a/internal/relay/serving/evacuations.go
+++ b/internal/relay/serving/evacuations.go
@@ -69,16 +69,24 @@
 func (c *Core) redirectEvacuated(now instant.Instant, p flow.Packet, m *message.Carried, waited time.Duration) {
 	c.Counts.Evacuated++
 	m.WaitedMillis += uint32(waited / time.Millisecond)
+	if !c.knowsAllFlows(now) {
+		// The flow may be open here, so the home must not reset it if it finds no other agent.
+		m.WaitedMillis = max(m.WaitedMillis, uint32(flow.MayBeOpenAfter/time.Millisecond))
+	}
 	set := c.evacuations.Set()
 	c.LogNotable("FlowRedirected", "Flow", p.Flow, "Reason", "Evacuated", "Era", set.Era, "Revision", set.Revision, "Waited", waited, "Copy", p.AckSeq)
 	c.redirect(now, p, m)
 }
 
-// wasOffered reports whether an earlier copy of a flow's first packet has been delivered here,
-// while the caller still repeats it.
+// wasOffered reports whether a first packet is of no new flow: the upstream has accepted the flow
+// and it has not ended, or an earlier copy has been delivered while the caller still repeats it.
+// A copy of an accepted flow may arrive much later, from the backlog of a paused process.
 func (c *Core) wasOffered(now instant.Instant, id flow.ID) bool {
 	f := c.flows.Get(id)
-	return f != nil && f.Phase >= flowtable.Offered && now.Sub(f.StartedAt) <= flow.OpenTimeout
+	if f == nil || f.HasEnded() {
+		return false
+	}
+	return f.Phase >= flowtable.Accepted || f.Phase == flowtable.Offered && now.Sub(f.StartedAt) <= flow.OpenTimeout
 }
 
 // localDataCentre returns the data centre whose agents are near for a new flow: that of the
--- a/internal/relay/serving/evacuations_test.go
+++ b/internal/relay/serving/evacuations_test.go
@@ -171,3 +171,65 @@
 		qt.Check(t, claims == 1, qt.Equals, placedBy == 8, qt.Commentf("placed by %v: %d claims", placedBy, claims))
 	}
 }
+
+// upstreamPacket hands the agent a packet of its upstream.
+func (f *evacuationFixture) upstreamPacket(number byte, flags flow.Flags) {
+	f.Codec.DecodeFromUpstream = func([]byte) (flow.Packet, bool) {
+		return flow.Packet{Flow: flow.ID{Caller: flow.Endpoint{IP: 1, Port: uint16(number)}, Address: id.Address}, Flags: flags}, true
+	}
+	f.HandleUpstreamPacket(f.now, []byte{number})
+}
+
+// TestLateCopyOfAnOpenFlow guards against the reset of a flow that runs in an evacuated data
+// centre, or its second opening at another upstream, when a paused balancer sends the first copy
+// of the first packet long after the others.
+func TestLateCopyOfAnOpenFlow(t *testing.T) {
+	f := newEvacuationFixture(agentRecord(8, "b"))
+	f.packet(1, message.Step_StepPlace, &message.Evacuations{Era: 1, Revision: 4})
+	f.upstreamPacket(1, flow.Syn|flow.Ack)
+	f.take()
+	f.now = f.now.Add(flow.OpenTimeout + time.Second)
+	f.packet(1, message.Step_StepPlace, &message.Evacuations{Era: 1, Revision: 5, DataCentres: []string{"a", "b"}})
+	delivered, reset, sent := f.take()
+	qt.Check(t, delivered, qt.DeepEquals, []byte{1})
+	qt.Check(t, len(reset)+len(sent), qt.Equals, 0)
+
+	// The caller opens a new flow from the same port after the end of the first one.
+	f.upstreamPacket(1, flow.Fin|flow.Ack)
+	decode := f.Codec.DecodeFromCaller
+	f.Codec.DecodeFromCaller = func(b []byte) (flow.Packet, bool) {
+		p, ok := decode(b)
+		p.Flags = flow.Fin | flow.Ack
+		return p, ok
+	}
+	f.packet(1, message.Step_StepOwner, nil)
+	f.Codec.DecodeFromCaller = decode
+	f.take()
+	f.packet(1, message.Step_StepPlace, nil)
+	delivered, _, sent = f.take()
+	qt.Check(t, delivered, qt.HasLen, 0)
+	qt.Check(t, sent[8], qt.HasLen, 1)
+}
+
+// TestRestartedAgentForwardsACopy guards against the reset of a flow that an upstream accepted
+// before its agent restarted: the agent forwards a copy of the first packet as one of a flow that
+// may be open, so that a home without other agents drops it.
+func TestRestartedAgentForwardsACopy(t *testing.T) {
+	for _, startedLater := range []bool{false, true} {
+		f := newEvacuationFixture(agentRecord(8, "b"))
+		f.Core = serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: f.Codec, Started: f.now, StartedMillis: 1_000_000, FlowLifetime: time.Minute})
+		beat := serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 99, Slots: 1}
+		if startedLater {
+			beat.Born, beat.Sequence = 1_000_001, 1
+		}
+		f.HandleHeartbeat(f.now, beat)
+		f.ApplyStored(f.now, []*message.Record{agentRecord(8, "b")})
+		f.take()
+		f.packet(1, message.Step_StepPlace, &message.Evacuations{Era: 1, Revision: 5, DataCentres: []string{"a", "b"}})
+		_, reset, sent := f.take()
+		qt.Assert(t, sent[8], qt.HasLen, 1)
+		qt.Check(t, reset, qt.HasLen, 0)
+		m := sent[8][0]
+		qt.Check(t, flow.MayBeOpen(0, time.Duration(m.WaitedMillis)*time.Millisecond), qt.Equals, !startedLater)
+	}
+}
