Keep redelivered flows that the upstream may have accepted

When a silent upstream was heard again, the first packets delivered meanwhile were admitted anew if they exceeded the warm-up limit, also the one whose answer was being handled. It could be refused or redirected although the upstream had accepted its flow. The packet of the upstream is now recorded first, accepted flows are not redelivered, and others wait for their turn or are dropped, so that the caller repeats them.

TestAnsweredFlowIsNotAdmittedAgain and TestRedeliveryOverTheLimit failed before.

--- a/internal/relay/admission/admission.go
+++ b/internal/relay/admission/admission.go
@@ -91,6 +91,9 @@
 	Priority uint32
 	// WaitsForTurn is set if the flow has had to wait for a turn under a warm-up limit.
 	WaitsForTurn bool
+	// WasDelivered is set if a copy of the first packet has been delivered to an upstream that
+	// may have missed it, so that the flow may be open there.
+	WasDelivered bool
 }
 
 // IsLate reports whether the target latency has passed.
--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -34,15 +34,11 @@
 		return
 	}
 	c.severalKinds = m.SeveralKinds
-	timeLeft := flow.OpenTimeLeft(p.AckSeq) - time.Duration(m.WaitedMillis)*time.Millisecond
-	if timeLeft < 0 {
+	e := c.newEntry(now, p, m)
+	if e.ExpiresAt < now {
 		c.LogNotable("FlowGivenUp", "Flow", p.Flow, "Copy", p.AckSeq, "Waited", m.WaitedMillis)
 		return
 	}
-	e := &admission.Entry{
-		Flow: p.Flow, Carried: m, FirstSentAt: now.Add(timeLeft - flow.OpenTimeout), ExpiresAt: now.Add(timeLeft), ArrivedAt: now,
-		TargetLatency: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
-	}
 	upstreamLoad := c.upstreamLoad(now)
 	if c.exceedsWarmUpLimit(now, p.Flow) && !c.waitsForTurn(now, e, p, upstreamLoad) {
 		return
@@ -62,6 +58,15 @@
 	c.admitQueued(now)
 }
 
+// newEntry returns the entry of the wait queue for a first packet.
+func (c *Core) newEntry(now instant.Instant, p flow.Packet, m *message.Carried) *admission.Entry {
+	timeLeft := flow.OpenTimeLeft(p.AckSeq) - time.Duration(m.WaitedMillis)*time.Millisecond
+	return &admission.Entry{
+		Flow: p.Flow, Carried: m, FirstSentAt: now.Add(timeLeft - flow.OpenTimeout), ExpiresAt: now.Add(timeLeft), ArrivedAt: now,
+		TargetLatency: time.Duration(m.AimMillis) * time.Millisecond, Priority: m.Priority,
+	}
+}
+
 // redirectOrRefuse redirects a flow rejected by the wait queue to another agent, or
 // refuses it if none is less loaded or maxPlacements is reached.
 func (c *Core) redirectOrRefuse(now instant.Instant, e *admission.Entry) {
@@ -69,6 +74,10 @@
 	if !ok {
 		return
 	}
+	if e.WasDelivered {
+		c.dropCopy(e, "UpstreamFull", now.Sub(e.ArrivedAt))
+		return
+	}
 	e.Carried.WaitedMillis += uint32(now.Sub(e.ArrivedAt) / time.Millisecond)
 	if len(e.Carried.Excluded) < maxPlacements && c.othersLessLoaded(now, p, e.Carried) {
 		c.redirect(now, p, e.Carried)
@@ -129,6 +138,9 @@
 		if !ok {
 			continue
 		}
+		if f := c.flows.Get(p.Flow); e.WasDelivered && f != nil && f.Phase >= flowtable.Accepted {
+			continue
+		}
 		c.OnWait(now.Sub(e.ArrivedAt))
 		e.Carried.WaitedMillis += uint32(now.Sub(e.ArrivedAt) / time.Millisecond)
 		if c.rejectsNewFlows() {
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -194,12 +194,14 @@
 		c.handleBounce(now, p)
 		return
 	}
-	c.recordUpstreamAlive(now)
 	if f := c.flows.Get(p.Flow); p.Flags.Has(flow.Rst) && (f == nil || f.Phase < flowtable.Accepted) {
+		c.recordUpstreamAlive(now)
 		c.handleUpstreamReset(now, p, f)
 		return
 	}
+	// The packets that are redelivered depend on what this one shows.
 	f, newlyHeld := c.flows.RecordUpstreamPacket(now, p)
+	c.recordUpstreamAlive(now)
 	if !newlyHeld && !p.Flags.Has(flow.Syn) && f.AcceptedAt < c.upstream.awaySince {
 		c.upstream.mayHaveRestarted = false
 	}
--- a/internal/relay/serving/warmup.go
+++ b/internal/relay/serving/warmup.go
@@ -103,6 +103,17 @@
 // there is no limit.
 func (c *Core) FlowsLeft(now instant.Instant) int { return c.flowsLeft(now) - 1 }
 
+// nextTurn returns when the turn of a flow comes that is queued now, and until when its caller must
+// wait for it to be served. ok is false if its turn never comes.
+func (c *Core) nextTurn(now instant.Instant, upstreamLoad admission.UpstreamLoad) (turn, served instant.Instant, ok bool) {
+	limit := c.warmUpLimit(now)
+	place := c.waitQueue.Len() + 1
+	turn, ok = c.warmUp.TurnOf(now, place, limit)
+	// Flows whose turns come together still wait for slots.
+	slotWait := time.Duration(float64(min(place, limit.Flows)) / float64(max(upstreamLoad.Slots, 1)) * float64(upstreamLoad.ServiceTime))
+	return turn, turn.Add(slotWait + turnMargin), ok
+}
+
 // waitsForTurn reports whether a flow over the warm-up limit is to wait here. A flow waits if it
 // can be in time. Otherwise it is redirected if another agent has flows left. If none has, it
 // waits if its turn comes before its caller gives up, else it is refused at once.
@@ -111,16 +122,13 @@
 		return true
 	}
 	limit := c.warmUpLimit(now)
-	place := c.waitQueue.Len() + 1
-	turn, ok := c.warmUp.TurnOf(now, place, limit)
-	// Flows whose turns come together still wait for slots.
-	slotWait := time.Duration(float64(min(place, limit.Flows)) / float64(max(upstreamLoad.Slots, 1)) * float64(upstreamLoad.ServiceTime))
+	turn, served, ok := c.nextTurn(now, upstreamLoad)
 	decision := "Wait"
 	switch {
 	case ok && e.MeetsTargetAt(turn, upstreamLoad):
 	case len(e.Carried.Excluded)+1 < maxPlacements && c.othersHaveFlowsLeft(now, e.Carried):
 		decision = "Redirect"
-	case !ok || turn.Add(slotWait+turnMargin) > e.ExpiresAt:
+	case !ok || served > e.ExpiresAt:
 		decision = "Refuse"
 	}
 	c.LogNotable("FlowOverWarmUpLimit", "Flow", p.Flow, "Decision", decision, "Turn", turn.Sub(now), "TimeLeft", e.ExpiresAt.Sub(now), "Rate", c.warmUpRate,
@@ -154,23 +162,41 @@
 func isUsable(x load.Candidate) bool { return !x.Unconfirmed && !x.LikelyDown && !x.NoFlowsLeft }
 
 // redeliver delivers a packet again that the upstream may have missed. While the upstream may be
-// cold, a first packet counts again, and one over the limit is admitted anew.
+// cold, a first packet counts again, and one over the limit waits for its turn. If there is none
+// in time, it is dropped: the upstream may have accepted the flow, so it is neither redirected
+// nor refused.
 func (c *Core) redeliver(now instant.Instant, r redeliveryPacket) {
 	p, ok := c.Codec.DecodeFromCaller(r.carried.Packet)
 	if c.warmUpRate == 0 || !ok || !p.OpensFlow() {
 		c.Emit(action.Action{Kind: action.Deliver, Bytes: r.carried.Packet})
 		return
 	}
+	if f := c.flows.Get(p.Flow); f != nil && f.Phase >= flowtable.Accepted {
+		return
+	}
 	if c.warmUpAllows(now, p.Flow) {
 		c.warmUp.Record(now, p.Flow)
 		c.Emit(action.Action{Kind: action.Deliver, Bytes: r.carried.Packet})
 		return
 	}
-	if f := c.flows.Get(p.Flow); f != nil && !f.IsHeld() {
-		c.flows.Delete(f)
+	waited := now.Sub(r.deliveredAt)
+	r.carried.WaitedMillis += uint32(waited / time.Millisecond)
+	e := c.newEntry(now, p, r.carried)
+	e.WasDelivered, e.WaitsForTurn = true, true
+	upstreamLoad := c.upstreamLoad(now)
+	_, served, ok := c.nextTurn(now, upstreamLoad)
+	if !ok || served > e.ExpiresAt {
+		c.dropCopy(e, "WarmUpLimit", waited)
+		return
 	}
-	r.carried.WaitedMillis += uint32(now.Sub(r.deliveredAt) / time.Millisecond)
-	c.admit(now, p, r.carried)
+	if rejected := c.waitQueue.Add(now, e, upstreamLoad); rejected != nil {
+		c.redirectOrRefuse(now, rejected)
+	}
+}
+
+// dropCopy logs that a copy of a first packet is dropped, since its flow may be open.
+func (c *Core) dropCopy(e *admission.Entry, reason string, waited time.Duration) {
+	c.LogNotable("CopyDropped", "Flow", e.Flow, "Reason", reason, "Waited", waited)
 }
 
 // updateWarmUpLimit logs when the limit begins and ceases to apply.
