Measure overdue heartbeats in the agent's listening time

An agent that had been paused handled its backlog of packets before the heartbeats in it, took the next heartbeat for overdue, and refused flows of a warm upstream for the warm-up limit.

TestPausedAgentTakesFlows failed before.

--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -223,9 +223,10 @@
 	leftBefore bool
 	// absent is set if the upstream has sent nothing since the process started, and
 	// either it refuses connections or heartbeats are overdue; it then holds no flows.
-	// listenTime is how long the process has listened.
-	absent     bool
-	listenTime time.Duration
+	// listenTime is how long the process had listened at the last tick, heartbeatListenTime at
+	// the last heartbeat.
+	absent                          bool
+	listenTime, heartbeatListenTime time.Duration
 	// refusedSince is when the upstream was first seen to refuse connections, 0 if it does
 	// not.
 	refusedSince instant.Instant
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -49,6 +49,7 @@
 	c.upstream.Heartbeat, c.upstream.hasHeartbeat = h, true
 	c.flows.SetSlots(c.slots())
 	c.upstream.lastHeartbeat, c.upstream.candidate = now, candidate{}
+	c.upstream.heartbeatListenTime = c.listenTime(now)
 	c.upstream.hasLeft, c.upstream.resetFlowsAt = false, 0
 	c.upstream.coldUntil, c.upstream.mayHaveRestarted = now.Add(h.ColdFor), false
 	if replaced {
@@ -133,7 +134,7 @@
 // process started and heartbeats are overdue. Searches then do not wait for this agent,
 // whose upstream cannot hold flows.
 func (c *Core) detectAbsence(now instant.Instant) {
-	c.upstream.listenTime += min(now.Sub(c.lastTick), maxTickGap)
+	c.upstream.listenTime = c.listenTime(now)
 	if c.upstream.lastHeard != 0 || c.upstream.absent || c.HeartbeatEvery == 0 || c.upstream.listenTime < absentHeartbeats*c.HeartbeatEvery {
 		return
 	}
--- a/internal/relay/serving/warmup.go
+++ b/internal/relay/serving/warmup.go
@@ -63,9 +63,16 @@
 	}
 }
 
-// isHeartbeatOverdue reports whether the upstream's next heartbeat is late by half an interval.
+// isHeartbeatOverdue reports whether the upstream's next heartbeat is late by half an interval in
+// the time in which this process has listened: after a pause it handles unread packets first, and
+// the heartbeats among them may come last.
 func (c *Core) isHeartbeatOverdue(now instant.Instant) bool {
-	return c.HeartbeatEvery > 0 && now.Sub(c.upstream.lastHeartbeat) > c.HeartbeatEvery+c.confirmAfter()
+	return c.HeartbeatEvery > 0 && c.listenTime(now)-c.upstream.heartbeatListenTime > c.HeartbeatEvery+c.confirmAfter()
+}
+
+// listenTime returns how long the process has listened.
+func (c *Core) listenTime(now instant.Instant) time.Duration {
+	return c.upstream.listenTime + min(now.Sub(c.lastTick), maxTickGap)
 }
 
 // warmUpLeft returns how many first packets the limit allows now, -1 if there is no limit.
--- a/internal/relay/serving/warmup_test.go
+++ b/internal/relay/serving/warmup_test.go
@@ -68,3 +68,27 @@
 		}
 	}
 }
+
+// TestPausedAgentTakesFlows guards against the refusal of the flows in the backlog of an agent that
+// was paused: the heartbeats of its warm upstream come after them.
+func TestPausedAgentTakesFlows(t *testing.T) {
+	f := newWarmUpFixture()
+	listen := func(d time.Duration) {
+		for end := f.now.Add(d); f.now < end; f.Tick(f.now) {
+			f.now = f.now.Add(serving.TickInterval)
+		}
+	}
+	f.HandleHeartbeat(f.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Slots: 4})
+	listen(700 * time.Millisecond)
+	f.take()
+	f.now = f.now.Add(3 * time.Second)
+	for n := range byte(3) {
+		f.limitedPacket(n+1, 0.5)
+	}
+	delivered, replies, sent := f.take()
+	qt.Check(t, delivered, qt.DeepEquals, []byte{1, 2, 3})
+	qt.Check(t, len(replies)+len(sent), qt.Equals, 0)
+	qt.Check(t, f.FlowsLeft(f.now), qt.Equals, -1)
+	listen(900 * time.Millisecond)
+	qt.Check(t, f.FlowsLeft(f.now) >= 0, qt.IsTrue, qt.Commentf("no heartbeat came in the time that the agent listened"))
+}
