Raise the version of evacuations with changes that confirm them

A change whose content was already known left the version of the set as it was. The set of another balancer as of a revision between the two, such as a withdrawal that this one had missed, then replaced the newer one. The version now rises with each change, and the syncer passes the set on.

TestConfirmingChangeRaisesTheVersion failed before.

--- a/internal/relay/configsync/evacuations.go
+++ b/internal/relay/configsync/evacuations.go
@@ -22,8 +22,8 @@
 	// IsDataCentre reports whether there is a data centre of that name. Other keys are logged
 	// once and ignored.
 	IsDataCentre func(name string) bool
-	// Apply is called with the evacuated data centres when the store first shows them and when
-	// they change.
+	// Apply is called with the evacuated data centres when the store first shows them, when they
+	// change, and when a change confirms them as of a later revision.
 	Apply func(set evacuation.Set, source string)
 }
 
@@ -112,14 +112,14 @@
 	if s.store.Era() != s.era {
 		return
 	}
-	changed := false
+	before := s.evacuations.Set().Version
 	for _, kv := range changes {
 		if d, ok := s.dataCentreOf(kv.Key); ok {
 			v := evacuation.Version{Era: evacuation.Era(s.era), Revision: evacuation.Revision(kv.Revision)}
-			changed = s.evacuations.Apply(evacuation.Change{Version: v, DataCentre: d, Evacuated: kv.Value != nil}) || changed
+			s.evacuations.Apply(evacuation.Change{Version: v, DataCentre: d, Evacuated: kv.Value != nil})
 		}
 	}
-	if changed {
+	if s.evacuations.Set().IsAfter(before) {
 		s.Evacuations.Apply(s.evacuations.Set(), "Watch")
 	}
 }
--- a/internal/relay/evacuation/evacuation.go
+++ b/internal/relay/evacuation/evacuation.go
@@ -179,7 +179,13 @@
 	}
 	t.changes[c.DataCentre] = c.Revision
 	i, contained := slices.BinarySearch(t.set.DataCentres, c.DataCentre)
-	if contained == c.Evacuated || c.Evacuated && len(t.set.DataCentres) >= maxDataCentres {
+	if contained == c.Evacuated {
+		// The store confirms the set as of this revision, so that an older set of another process
+		// does not replace it.
+		t.set.Revision, t.encoded = max(t.set.Revision, c.Revision), nil
+		return false
+	}
+	if c.Evacuated && len(t.set.DataCentres) >= maxDataCentres {
 		return false
 	}
 	// Earlier sets share the elements.
--- a/internal/relay/evacuation/evacuation_test.go
+++ b/internal/relay/evacuation/evacuation_test.go
@@ -54,6 +54,20 @@
 	qt.Assert(t, table.Apply(change(2, 3, "a", true)), qt.IsTrue, qt.Commentf("revisions of the era before do not count"))
 }
 
+// TestConfirmingChangeRaisesTheVersion guards against the set of another process, as of a withdrawal
+// that this one has missed, that replaces a set confirmed by a later request.
+func TestConfirmingChangeRaisesTheVersion(t *testing.T) {
+	var table evacuation.Table
+	table.Merge(set(1, 5, "a"))
+	qt.Assert(t, table.Message().Revision, qt.Equals, int64(5))
+	qt.Assert(t, table.Apply(change(1, 7, "a", true)), qt.IsFalse)
+	qt.Assert(t, table.Message().Revision, qt.Equals, int64(7))
+	qt.Assert(t, table.Merge(set(1, 6)), qt.IsFalse)
+	qt.Assert(t, table.Contains("a"), qt.IsTrue)
+	table.Apply(change(1, 8, "b", false))
+	qt.Assert(t, table.Set(), qt.DeepEquals, set(1, 8, "a"))
+}
+
 // TestOddNames guards against names in a message that make all messages too large.
 func TestOddNames(t *testing.T) {
 	s, ok := evacuation.SetOf(&message.Evacuations{Era: 1, Revision: 2, DataCentres: []string{"b", "", "x/y", strings.Repeat("n", 300), "a b", "a\xff", "b", "a"}})
