Mark deleted keys in changes of the store

Evacuations told a deletion from an empty value by giving empty values of all watches a non-nil value, so that watches of other keys changed as well, also without evacuations. Changes now have a field Deleted, which only evacuations use, and empty values are as they were before.

--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -70,6 +70,9 @@
 	Revision Revision
 	// Lease is the lease that the key is attached to, 0 if there is none.
 	Lease LeaseID
+	// Deleted is set in changes of a watch that delete the key. Not all gateways tell: a deleted
+	// key and one with an empty value both may have the value nil.
+	Deleted bool
 }
 
 // Compare is a condition of a commit: Key was last modified at Revision.
--- a/internal/relay/configsync/evacuations.go
+++ b/internal/relay/configsync/evacuations.go
@@ -116,7 +116,7 @@
 	for _, kv := range changes {
 		if d, ok := s.dataCentreOf(kv.Key); ok {
 			v := evacuation.Version{Era: evacuation.Era(s.era), Revision: evacuation.Revision(kv.Revision)}
-			s.evacuations.Apply(evacuation.Change{Version: v, DataCentre: d, Evacuated: kv.Value != nil})
+			s.evacuations.Apply(evacuation.Change{Version: v, DataCentre: d, Evacuated: !kv.Deleted})
 		}
 	}
 	if s.evacuations.Set().IsAfter(before) {
