--- a/internal/relay/configsync/syncer.go
+++ b/internal/relay/configsync/syncer.go
@@ -293,7 +293,7 @@
 		return nil, false
 	}
 	for _, p := range problems {
-		s.Warn("RouteUnreadable", "Version", c.Version, "Source", source, "Reason", p)
+		s.Warn("ConfigurationPartUnreadable", "Version", c.Version, "Source", source, "Reason", p)
 	}
 	if c.Version > s.latest.version {
 		s.latest = decodedValue{c.Version, value}
--- a/internal/relay/configsync/syncer_test.go
+++ b/internal/relay/configsync/syncer_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -281,3 +282,26 @@
 	defer f.mu.Unlock()
 	qt.Assert(t, f.applied, qt.DeepEquals, []routes.Version{5, 8})
 }
+
+// TestUnreadablePartIsLogged guards against a log that calls the problem of a service one of a
+// route.
+func TestUnreadablePartIsLogged(t *testing.T) {
+	f := newFixture(t)
+	f.put("1")
+	var log bytes.Buffer
+	applied := make(chan struct{}, 1)
+	s := New(Config{
+		Key: key,
+		Decode: func([]byte) (*routes.Configuration, []error, error) {
+			return &routes.Configuration{Version: 1}, []error{errors.New("service stock: warmup_s is negative")}, nil
+		},
+		Apply:         func(*routes.Configuration, string) { applied <- struct{}{} },
+		ShouldWatch:   func() bool { return true },
+		OnConfirm:     func(time.Duration) {},
+		OnStoreHealth: func(bool) {},
+	}, f.client, eventlog.New(&log, eventlog.Info, 1))
+	<-applied
+	s.Close()
+	qt.Assert(t, log.String(), qt.Contains, "ConfigurationPartUnreadable")
+	qt.Assert(t, log.String(), qt.Contains, "service stock")
+}
