Let no warm-up limit stop all flows

With a rate times overage plus slack below one flow a second the limit was no flow at all, so that a cold upstream refused everything. It is now one flow in the corresponding longer time, up to a minute.

TestLimitKeepsTheReserve has such bounds as cases and failed before.

--- a/internal/relay/warmup/warmup.go
+++ b/internal/relay/warmup/warmup.go
@@ -55,19 +55,20 @@
 // IsSet reports whether there is a limit.
 func (l Limit) IsSet() bool { return l.Window > 0 }
 
-// LimitFor returns the limit for an upstream of a rate: the rate itself within a second. For a
-// rate below one it is one flow in the corresponding longer time.
+// LimitFor returns the limit for an upstream of a rate: the rate itself within a second, or what
+// the upstream tolerates if that is less. For less than one flow a second it is one flow in the
+// corresponding longer time, so that no rate stops all flows.
 func (b Bounds) LimitFor(r Rate) Limit {
 	if !(r > 0) || r > MaxRate || !(b.Overage > 0) {
 		return Limit{}
 	}
-	tolerated := max(b.Overage*float64(r)+b.Slack, 0)
-	if r < 1 {
+	perSecond := max(min(float64(r), b.Overage*float64(r)+b.Slack), 0)
+	if perSecond < 1 {
 		// The longest window is a minute: a limiter keeps its deliveries for that long.
-		window := min(float64(time.Second)/float64(r), float64(time.Minute))
-		return Limit{Flows: int(min(1, tolerated)), Window: time.Duration(window)}
+		window := min(float64(time.Second)/perSecond, float64(time.Minute))
+		return Limit{Flows: 1, Window: time.Duration(window)}
 	}
-	return Limit{Flows: int(math.Floor(min(float64(r), tolerated))), Window: time.Second}
+	return Limit{Flows: int(math.Floor(perSecond)), Window: time.Second}
 }
 
 // delivery is a first packet that was delivered. Its flow is the zero ID once a copy of the
