Shrink the window of the warm-up limiter with the rate

After a rate below one the limiter kept deliveries of the longer window for good, although the limit had a window of a second again. The window now follows the limit in force.

TestWindowFollowsTheLimit failed before.

--- a/internal/relay/warmup/warmup.go
+++ b/internal/relay/warmup/warmup.go
@@ -82,7 +82,8 @@
 type Limiter struct {
 	// startedAt is when the limiter began to record.
 	startedAt instant.Instant
-	// deliveries holds those of the longest window, the earliest first.
+	// deliveries holds those of window, which is that of the limit in force and at least a second,
+	// the earliest first.
 	deliveries []delivery
 	window     time.Duration
 }
@@ -142,7 +143,7 @@
 
 // Left returns how many first packets may be delivered now.
 func (l *Limiter) Left(now instant.Instant, limit Limit) int {
-	l.window = max(l.window, limit.Window)
+	l.window = max(time.Second, limit.Window)
 	l.expire(now)
 	if now.Sub(l.startedAt) <= limit.Window {
 		return 0
@@ -160,7 +161,7 @@
 	if limit.Flows <= 0 || n <= 0 {
 		return 0, false
 	}
-	l.window = max(l.window, limit.Window)
+	l.window = max(time.Second, limit.Window)
 	l.expire(now)
 	// A window after the delivery that is limit.Flows before this one, it is this one's turn.
 	// That delivery may itself be a further one.
--- a/internal/relay/warmup/warmup_test.go
+++ b/internal/relay/warmup/warmup_test.go
@@ -141,3 +141,16 @@
 		})
 	}
 }
+
+// TestWindowFollowsTheLimit guards against deliveries that are kept, and copies that do not count,
+// for a minute after a rate below one has ended.
+func TestWindowFollowsTheLimit(t *testing.T) {
+	l, now := warmup.New(0), instant.Instant(time.Hour)
+	qt.Assert(t, l.Left(now, usual.LimitFor(0.1)), qt.Equals, 1)
+	l.Record(now, flowID(1))
+	now = now.Add(2 * time.Second)
+	qt.Assert(t, l.Left(now, usual.LimitFor(0.1)), qt.Equals, 0)
+	qt.Assert(t, l.IsCounted(now, flowID(1)), qt.IsTrue)
+	qt.Assert(t, l.Left(now, usual.LimitFor(20)), qt.Equals, 20)
+	qt.Assert(t, l.IsCounted(now, flowID(1)), qt.IsFalse)
+}
