Reword comments of evacuations and warm-up limits

Comments called keys odd, and stores that were restored ones that had come back from a copy. No change of behaviour.

--- a/internal/relay/admission/admission.go
+++ b/internal/relay/admission/admission.go
@@ -151,7 +151,7 @@
 func CanAdmit(now instant.Instant, e *Entry, load UpstreamLoad) bool {
 	limit := maxRequestsPerSlotIfLate
 	if e.WaitsForTurn {
-		// The warm-up limit has kept such flows few. Requests whose callers have given up
+		// The warm-up limit bounds the number of such flows. Requests whose callers have given up
 		// count as running until they time out, and would keep back the rest.
 		limit = maxRequestsPerSlot
 	}
--- a/internal/relay/configsync/evacuations.go
+++ b/internal/relay/configsync/evacuations.go
@@ -7,8 +7,8 @@
 	"github.com/jaytack/jaytack/internal/relay/evacuation"
 )
 
-// maxReportedKeys limits the odd keys that are remembered as logged.
-const maxReportedKeys = 1000
+// maxLoggedKeys limits the unknown or malformed keys that are remembered as logged.
+const maxLoggedKeys = 1000
 
 // EvacuationConfig holds the keys and the callbacks for evacuations. All fields are set. The
 // watch of the gateway has to end with each answer of the store, since all changes of one
@@ -31,8 +31,8 @@
 type storedEvacuations struct {
 	evacuation.Table
 	// collected holds the changes of the watch in progress.
-	collected []store.KV
-	reported  map[store.Key]bool
+	collected  []store.KV
+	loggedKeys map[store.Key]bool
 }
 
 // readRange returns the range of the store that is read and watched.
@@ -67,11 +67,11 @@
 	if d := evacuation.DataCentre(name); d.IsValid() && s.Evacuations.IsDataCentre(name) {
 		return d, true
 	}
-	if !s.evacuations.reported[key] && len(s.evacuations.reported) < maxReportedKeys {
-		if s.evacuations.reported == nil {
-			s.evacuations.reported = make(map[store.Key]bool)
+	if !s.evacuations.loggedKeys[key] && len(s.evacuations.loggedKeys) < maxLoggedKeys {
+		if s.evacuations.loggedKeys == nil {
+			s.evacuations.loggedKeys = make(map[store.Key]bool)
 		}
-		s.evacuations.reported[key] = true
+		s.evacuations.loggedKeys[key] = true
 		s.Warn("EvacuationUnknown", "Key", key[:min(len(key), maxServiceNameBytes)], "Reason", "NoSuchDataCentre")
 	}
 	return "", false
@@ -104,7 +104,7 @@
 	}
 }
 
-// applyWatchedEvacuations applies the collected changes, unless the store has come back from a
+// applyWatchedEvacuations applies the collected changes, unless the store was restored from a
 // copy meanwhile: they may be of either era, and the next read shows what holds.
 func (s *Syncer) applyWatchedEvacuations() {
 	changes := s.evacuations.collected
--- a/internal/relay/evacuation/evacuation.go
+++ b/internal/relay/evacuation/evacuation.go
@@ -35,7 +35,7 @@
 	maxNameBytes   = 64
 )
 
-// Era counts how often the store has come back from an older copy.
+// Era counts how often the store was restored from an older copy.
 type Era int64
 
 // Revision is the store's write counter within one era.
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -252,8 +252,9 @@
 	owners    *lookup.Table
 	flows     *flowtable.Table
 	waitQueue *admission.Queue
-	// warmUp holds the first packets that the upstream got lately, warmUpRate the rate of its
-	// service in the last first packet seen. warmUpLimited is set while the limit applies.
+	// warmUp holds the first packets that the upstream received in the last window, warmUpRate
+	// the rate of its service in the last first packet seen. warmUpLimited is set while the limit
+	// applies.
 	warmUp        *warmup.Limiter
 	warmUpRate    warmup.Rate
 	warmUpLimited bool
