--- a/internal/relay/admission/admission.go
+++ b/internal/relay/admission/admission.go
@@ -91,6 +91,9 @@
 	Priority uint32
 	// WaitsForTurn is set if the flow has had to wait for a turn under a warm-up limit.
 	WaitsForTurn bool
+	// WasDelivered is set if a copy of the first packet has been delivered to an upstream that
+	// may have missed it, so that the flow may be open there.
+	WasDelivered bool
 }
 
 // IsLate reports whether the target latency has passed.
@@ -148,7 +151,7 @@
 func CanAdmit(now instant.Instant, e *Entry, load UpstreamLoad) bool {
 	limit := maxRequestsPerSlotIfLate
 	if e.WaitsForTurn {
-		// The warm-up limit has kept such flows few. Requests whose callers have given up
+		// The warm-up limit bounds the number of such flows. Requests whose callers have given up
 		// count as running until they time out, and would keep back the rest.
 		limit = maxRequestsPerSlot
 	}
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -216,10 +216,11 @@
 	openingPendingSince, dataPendingSince instant.Instant
 	openingPending, dataPending           bool
 	coldUntil                             instant.Instant
-	// mayHaveRestarted is set from a sign that the upstream was away, at awaySince, until its
-	// next heartbeat, which tells whether it is cold, or a packet on a flow that it held before.
-	mayHaveRestarted bool
-	awaySince        instant.Instant
+	// mayHaveRestarted is set from a sign that the upstream was away, after awaySince, until its
+	// next heartbeat, which tells whether it is cold, or a packet on a flow that it accepted
+	// before awaySince. awayNoticedAt is when the last sign was seen.
+	mayHaveRestarted         bool
+	awaySince, awayNoticedAt instant.Instant
 	// startedLater is set if the upstream certainly started after this process.
 	startedLater bool
 	hasLeft      bool
@@ -228,9 +229,10 @@
 	leftBefore bool
 	// absent is set if the upstream has sent nothing since the process started, and
 	// either it refuses connections or heartbeats are overdue; it then holds no flows.
-	// listenTime is how long the process has listened.
-	absent     bool
-	listenTime time.Duration
+	// listenTime is how long the process had listened at the last tick, heartbeatListenTime at
+	// the last heartbeat.
+	absent                          bool
+	listenTime, heartbeatListenTime time.Duration
 	// refusedSince is when the upstream was first seen to refuse connections, 0 if it does
 	// not.
 	refusedSince instant.Instant
@@ -256,8 +258,9 @@
 	owners    *lookup.Table
 	flows     *flowtable.Table
 	waitQueue *admission.Queue
-	// warmUp holds the first packets that the upstream got lately, warmUpRate the rate of its
-	// service in the last first packet seen. warmUpLimited is set while the limit applies.
+	// warmUp holds the first packets that the upstream received in the last window, warmUpRate
+	// the rate of its service in the last first packet seen. warmUpLimited is set while the limit
+	// applies.
 	warmUp        *warmup.Limiter
 	warmUpRate    warmup.Rate
 	warmUpLimited bool
--- a/internal/relay/serving/warmup.go
+++ b/internal/relay/serving/warmup.go
@@ -7,6 +7,7 @@
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/admission"
 	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/flowtable"
 	"github.com/jaytack/jaytack/internal/relay/load"
 	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/warmup"
@@ -16,6 +17,10 @@
 // packet, the answer and the caller's next packet still have to be on their way.
 const turnMargin = 100 * time.Millisecond
 
+// unansweredAfter is how long after a first packet its answer is missing: a running upstream
+// answers within a few milliseconds, and callers repeat first packets after 200 ms.
+const unansweredAfter = 100 * time.Millisecond
+
 // warmUpLimit returns the limit of first packets in force, which is not set if the upstream is
 // warm or its service has none.
 func (c *Core) warmUpLimit(now instant.Instant) warmup.Limit {
@@ -32,15 +37,42 @@
 	return u.coldUntil > now || !u.hasHeartbeat || u.mayHaveRestarted || c.isHeartbeatOverdue(now)
 }
 
-// recordAway records a sign that the upstream is or was away.
-func (c *Core) recordAway(now instant.Instant) {
-	c.upstream.mayHaveRestarted, c.upstream.awaySince = true, now
+// recordAway records a sign that the upstream is or was away. Only a packet on a flow that it
+// accepted before since shows that it has not restarted.
+func (c *Core) recordAway(now, since instant.Instant) {
+	if !c.upstream.mayHaveRestarted && c.warmUpRate > 0 {
+		c.LogNotable("UpstreamMayHaveRestarted", "Since", now.Sub(since), "Rate", c.warmUpRate, "Heard", now.Sub(c.upstream.lastHeard), "Beat", now.Sub(c.upstream.lastHeartbeat))
+	}
+	if u := &c.upstream; !u.mayHaveRestarted || since < u.awaySince {
+		u.awaySince = since
+	}
+	c.upstream.mayHaveRestarted, c.upstream.awayNoticedAt = true, now
 	c.warmUp.ForgetAll()
 }
 
-// isHeartbeatOverdue reports whether the upstream's next heartbeat is late by half an interval.
+// detectUnanswered takes a copy of a first packet for a sign that the upstream was away if it has
+// not answered the earlier one. After a pause of this process the answer may be unread. While the
+// upstream counts as cold anyway, the sign would only make copies of all flows count again.
+func (c *Core) detectUnanswered(now instant.Instant, f *flowtable.Flow) {
+	if c.warmUpRate == 0 || f == nil || f.Phase != flowtable.Offered || c.mayBeCold(now) || c.resumedLately(now) {
+		return
+	}
+	// A packet delivered before the last sign is of the absence that is known already.
+	if now.Sub(f.LastOfferedAt) > unansweredAfter && f.LastOfferedAt > c.upstream.awayNoticedAt {
+		c.recordAway(now, f.LastOfferedAt)
+	}
+}
+
+// isHeartbeatOverdue reports whether the upstream's next heartbeat is late by half an interval in
+// the time in which this process has listened: after a pause it handles unread packets first, and
+// the heartbeats among them may come last.
 func (c *Core) isHeartbeatOverdue(now instant.Instant) bool {
-	return c.HeartbeatEvery > 0 && now.Sub(c.upstream.lastHeartbeat) > c.HeartbeatEvery+c.confirmAfter()
+	return c.HeartbeatEvery > 0 && c.listenTime(now)-c.upstream.heartbeatListenTime > c.HeartbeatEvery+c.confirmAfter()
+}
+
+// listenTime returns how long the process has listened.
+func (c *Core) listenTime(now instant.Instant) time.Duration {
+	return c.upstream.listenTime + min(now.Sub(c.lastTick), maxTickGap)
 }
 
 // warmUpLeft returns how many first packets the limit allows now, -1 if there is no limit.
@@ -78,6 +110,17 @@
 // there is no limit.
 func (c *Core) FlowsLeft(now instant.Instant) int { return c.flowsLeft(now) - 1 }
 
+// nextTurn returns when the turn of a flow comes that is queued now, and until when its caller must
+// wait for it to be served. ok is false if its turn never comes.
+func (c *Core) nextTurn(now instant.Instant, upstreamLoad admission.UpstreamLoad) (turn, served instant.Instant, ok bool) {
+	limit := c.warmUpLimit(now)
+	place := c.waitQueue.Len() + 1
+	turn, ok = c.warmUp.TurnOf(now, place, limit)
+	// Flows whose turns come together still wait for slots.
+	slotWait := time.Duration(float64(min(place, limit.Flows)) / float64(max(upstreamLoad.Slots, 1)) * float64(upstreamLoad.ServiceTime))
+	return turn, turn.Add(slotWait + turnMargin), ok
+}
+
 // waitsForTurn reports whether a flow over the warm-up limit is to wait here. A flow waits if it
 // can be in time. Otherwise it is redirected if another agent has flows left. If none has, it
 // waits if its turn comes before its caller gives up, else it is refused at once.
@@ -86,16 +129,13 @@
 		return true
 	}
 	limit := c.warmUpLimit(now)
-	place := c.waitQueue.Len() + 1
-	turn, ok := c.warmUp.TurnOf(now, place, limit)
-	// Flows whose turns come together still wait for slots.
-	slotWait := time.Duration(float64(min(place, limit.Flows)) / float64(max(upstreamLoad.Slots, 1)) * float64(upstreamLoad.ServiceTime))
+	turn, served, ok := c.nextTurn(now, upstreamLoad)
 	decision := "Wait"
 	switch {
 	case ok && e.MeetsTargetAt(turn, upstreamLoad):
 	case len(e.Carried.Excluded)+1 < maxPlacements && c.othersHaveFlowsLeft(now, e.Carried):
 		decision = "Redirect"
-	case !ok || turn.Add(slotWait+turnMargin) > e.ExpiresAt:
+	case !ok || served > e.ExpiresAt:
 		decision = "Refuse"
 	}
 	c.LogNotable("FlowOverWarmUpLimit", "Flow", p.Flow, "Decision", decision, "Turn", turn.Sub(now), "TimeLeft", e.ExpiresAt.Sub(now), "Rate", c.warmUpRate,
@@ -129,23 +169,41 @@
 func isUsable(x load.Candidate) bool { return !x.Unconfirmed && !x.LikelyDown && !x.NoFlowsLeft }
 
 // redeliver delivers a packet again that the upstream may have missed. While the upstream may be
-// cold, a first packet counts again, and one over the limit is admitted anew.
+// cold, a first packet counts again, and one over the limit waits for its turn. If there is none
+// in time, it is dropped: the upstream may have accepted the flow, so it is neither redirected
+// nor refused.
 func (c *Core) redeliver(now instant.Instant, r redeliveryPacket) {
 	p, ok := c.Codec.DecodeFromCaller(r.carried.Packet)
 	if c.warmUpRate == 0 || !ok || !p.OpensFlow() {
 		c.Emit(action.Action{Kind: action.Deliver, Bytes: r.carried.Packet})
 		return
 	}
+	if f := c.flows.Get(p.Flow); f != nil && f.Phase >= flowtable.Accepted {
+		return
+	}
 	if c.warmUpAllows(now, p.Flow) {
 		c.warmUp.Record(now, p.Flow)
 		c.Emit(action.Action{Kind: action.Deliver, Bytes: r.carried.Packet})
 		return
 	}
-	if f := c.flows.Get(p.Flow); f != nil && !f.IsHeld() {
-		c.flows.Delete(f)
+	waited := now.Sub(r.deliveredAt)
+	r.carried.WaitedMillis += uint32(waited / time.Millisecond)
+	e := c.newEntry(now, p, r.carried)
+	e.WasDelivered, e.WaitsForTurn = true, true
+	upstreamLoad := c.upstreamLoad(now)
+	_, served, ok := c.nextTurn(now, upstreamLoad)
+	if !ok || served > e.ExpiresAt {
+		c.dropCopy(e, "WarmUpLimit", waited)
+		return
+	}
+	if rejected := c.waitQueue.Add(now, e, upstreamLoad); rejected != nil {
+		c.redirectOrRefuse(now, rejected)
 	}
-	r.carried.WaitedMillis += uint32(now.Sub(r.deliveredAt) / time.Millisecond)
-	c.admit(now, p, r.carried)
+}
+
+// dropCopy logs that a copy of a first packet is dropped, since its flow may be open.
+func (c *Core) dropCopy(e *admission.Entry, reason string, waited time.Duration) {
+	c.LogNotable("CopyDropped", "Flow", e.Flow, "Reason", reason, "Waited", waited)
 }
 
 // updateWarmUpLimit logs when the limit begins and ceases to apply.
--- a/internal/relay/warmup/warmup.go
+++ b/internal/relay/warmup/warmup.go
@@ -55,19 +55,20 @@
 // IsSet reports whether there is a limit.
 func (l Limit) IsSet() bool { return l.Window > 0 }
 
-// LimitFor returns the limit for an upstream of a rate: the rate itself within a second. For a
-// rate below one it is one flow in the corresponding longer time.
+// LimitFor returns the limit for an upstream of a rate: the rate itself within a second, or what
+// the upstream tolerates if that is less. For less than one flow a second it is one flow in the
+// corresponding longer time, so that no rate stops all flows.
 func (b Bounds) LimitFor(r Rate) Limit {
 	if !(r > 0) || r > MaxRate || !(b.Overage > 0) {
 		return Limit{}
 	}
-	tolerated := max(b.Overage*float64(r)+b.Slack, 0)
-	if r < 1 {
+	perSecond := max(min(float64(r), b.Overage*float64(r)+b.Slack), 0)
+	if perSecond < 1 {
 		// The longest window is a minute: a limiter keeps its deliveries for that long.
-		window := min(float64(time.Second)/float64(r), float64(time.Minute))
-		return Limit{Flows: int(min(1, tolerated)), Window: time.Duration(window)}
+		window := min(float64(time.Second)/perSecond, float64(time.Minute))
+		return Limit{Flows: 1, Window: time.Duration(window)}
 	}
-	return Limit{Flows: int(math.Floor(min(float64(r), tolerated))), Window: time.Second}
+	return Limit{Flows: int(math.Floor(perSecond)), Window: time.Second}
 }
 
 // delivery is a first packet that was delivered. Its flow is the zero ID once a copy of the
@@ -81,7 +82,8 @@
 type Limiter struct {
 	// startedAt is when the limiter began to record.
 	startedAt instant.Instant
-	// deliveries holds those of the longest window, the earliest first.
+	// deliveries holds those of window, which is that of the limit in force and at least a second,
+	// the earliest first.
 	deliveries []delivery
 	window     time.Duration
 }
@@ -141,7 +143,7 @@
 
 // Left returns how many first packets may be delivered now.
 func (l *Limiter) Left(now instant.Instant, limit Limit) int {
-	l.window = max(l.window, limit.Window)
+	l.window = max(time.Second, limit.Window)
 	l.expire(now)
 	if now.Sub(l.startedAt) <= limit.Window {
 		return 0
@@ -159,7 +161,7 @@
 	if limit.Flows <= 0 || n <= 0 {
 		return 0, false
 	}
-	l.window = max(l.window, limit.Window)
+	l.window = max(time.Second, limit.Window)
 	l.expire(now)
 	// A window after the delivery that is limit.Flows before this one, it is this one's turn.
 	// That delivery may itself be a further one.
--- a/internal/relay/warmup/warmup_test.go
+++ b/internal/relay/warmup/warmup_test.go
@@ -126,6 +126,9 @@
 		{"Fraction", 2.7, usual, warmup.Limit{Flows: 2, Window: time.Second}},
 		{"BelowOne", 0.25, usual, warmup.Limit{Flows: 1, Window: 4 * time.Second}},
 		{"LowOverage", 20, warmup.Bounds{Overage: 0.5}, warmup.Limit{Flows: 10, Window: time.Second}},
+		{"LowRateAndOverage", 0.5, warmup.Bounds{Overage: 0.5}, warmup.Limit{Flows: 1, Window: 4 * time.Second}},
+		{"ToleratesLessThanOne", 2, warmup.Bounds{Overage: 0.1}, warmup.Limit{Flows: 1, Window: 5 * time.Second}},
+		{"NegativeSlack", 2, warmup.Bounds{Overage: 1, Slack: -5}, warmup.Limit{Flows: 1, Window: time.Minute}},
 		{"NoRate", 0, usual, warmup.Limit{}},
 		{"NoOverage", 20, warmup.Bounds{Slack: 5}, warmup.Limit{}},
 		{"NegativeRate", -1, usual, warmup.Limit{}},
@@ -138,3 +141,16 @@
 		})
 	}
 }
+
+// TestWindowFollowsTheLimit guards against deliveries that are kept, and copies that do not count,
+// for a minute after a rate below one has ended.
+func TestWindowFollowsTheLimit(t *testing.T) {
+	l, now := warmup.New(0), instant.Instant(time.Hour)
+	qt.Assert(t, l.Left(now, usual.LimitFor(0.1)), qt.Equals, 1)
+	l.Record(now, flowID(1))
+	now = now.Add(2 * time.Second)
+	qt.Assert(t, l.Left(now, usual.LimitFor(0.1)), qt.Equals, 0)
+	qt.Assert(t, l.IsCounted(now, flowID(1)), qt.IsTrue)
+	qt.Assert(t, l.Left(now, usual.LimitFor(20)), qt.Equals, 20)
+	qt.Assert(t, l.IsCounted(now, flowID(1)), qt.IsFalse)
+}
