--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -143,11 +143,14 @@
 		}
 		c.OnWait(now.Sub(e.ArrivedAt))
 		e.Carried.WaitedMillis += uint32(now.Sub(e.ArrivedAt) / time.Millisecond)
-		if c.rejectsNewFlows() {
+		switch {
+		case c.rejectsNewFlows():
 			c.redirect(now, p, e.Carried)
-			continue
+		case c.isEvacuated() && !e.WasDelivered && !c.wasOffered(now, p.Flow):
+			c.redirectEvacuated(now, p, e.Carried, 0)
+		default:
+			c.deliverFirstPacket(now, p, e.Carried)
 		}
-		c.deliverFirstPacket(now, p, e.Carried)
 	}
 }
 
--- a/internal/relay/serving/evacuations.go
+++ b/internal/relay/serving/evacuations.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// redirectWaiting forwards all new flows that wait for the upstream.
+// redirectWaiting forwards all new flows that wait for the upstream. One whose first packet was
+// delivered before may be open, so that its queued copy is dropped; the caller repeats it.
 func (c *Core) redirectWaiting(now instant.Instant) {
 	// Flows leave the queue in order while there is room.
 	room := admission.UpstreamLoad{Slots: admission.MaxFlows}
@@ -58,7 +59,7 @@
 		if !ok {
 			return
 		}
-		if p, ok := c.Codec.DecodeFromCaller(e.Carried.Packet); ok {
+		if p, ok := c.Codec.DecodeFromCaller(e.Carried.Packet); ok && !e.WasDelivered && !c.wasOffered(now, p.Flow) {
 			c.redirectEvacuated(now, p, e.Carried, now.Sub(e.ArrivedAt))
 		}
 	}
