--- a/internal/standin/relay/ejection_test.go
+++ b/internal/standin/relay/ejection_test.go
@@ -48,6 +48,7 @@
 // thus always free, and attract the flows of callers that try again; and against ejected ones
 // that get no flows once they work again.
 func TestFailingUpstreamsGetFewFlows(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2} {
 		without, _, _, _ := failedWhileSomeFail(seed, false)
 		with, all, ranAfterwards, w := failedWhileSomeFail(seed, true)
--- a/internal/standin/relay/uneven_test.go
+++ b/internal/standin/relay/uneven_test.go
@@ -34,6 +34,7 @@
 // late requests that placement without service times has are avoided. Nearly none is
 // unavoidable: alone at a fast upstream no request takes as long as the target latency.
 func TestUnevenUpstreamsUnderAWave(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			run := func(hide bool) float64 {
@@ -111,6 +112,7 @@
 // TestChangedUpstreamIsFollowed guards against an upstream that is starved or flooded since its
 // predecessor was slow or fast, and against one that slows down while it runs.
 func TestChangedUpstreamIsFollowed(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name     string
 		from, to float64
@@ -141,6 +143,7 @@
 // TestUpstreamThatFailsFast guards against a faulty upstream that answers at once and thereby
 // attracts the flows of an uneven group.
 func TestUpstreamThatFailsFast(t *testing.T) {
+	t.Parallel()
 	w := New(Ratenwerk(6))
 	faulty := w.Agents[4]
 	faulty.Upstream.Factor = 0.02
@@ -160,6 +163,7 @@
 // TestRestartedAgentLearnsAgain guards against an upstream that is flooded or left out after
 // its agent has lost the estimate.
 func TestRestartedAgentLearnsAgain(t *testing.T) {
+	t.Parallel()
 	w := New(Ratenwerk(7))
 	p := w.Agents[8]
 	qt.Assert(t, p.Upstream.Factor, qt.Equals, 1.6)
--- a/internal/standin/relay/warmup_test.go
+++ b/internal/standin/relay/warmup_test.go
@@ -82,6 +82,7 @@
 // TestAllColdUnderLoad guards against flows that gather at some cold upstreams while others have
 // flows left, and against callers who wait until they give up instead of being refused at once.
 func TestAllColdUnderLoad(t *testing.T) {
+	t.Parallel()
 	runLimited(t, 11*time.Second, func(w *World) {
 		w.At(5*time.Second, func() { w.LosePower(time.Second) })
 	}, func(t *testing.T, w *World, events map[string]int) {
@@ -108,6 +109,7 @@
 // TestAgentRestartsInTheWarmUp guards against an agent that forgets the deliveries of its
 // predecessor to the cold upstream.
 func TestAgentRestartsInTheWarmUp(t *testing.T) {
+	t.Parallel()
 	for _, downtime := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond} {
 		t.Run(fmt.Sprint(downtime), func(t *testing.T) {
 			runLimited(t, 9*time.Second, func(w *World) {
@@ -127,6 +129,7 @@
 // TestUpstreamRestartsAlone guards against an agent that takes the restarted upstream beside it
 // for the warm one it knew.
 func TestUpstreamRestartsAlone(t *testing.T) {
+	t.Parallel()
 	for _, downtime := range []time.Duration{50 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second} {
 		for _, visible := range []bool{false, true} {
 			t.Run(fmt.Sprint(downtime, visible), func(t *testing.T) {
@@ -146,6 +149,7 @@
 // TestHeartbeatsOfColdUpstreamsAreLostOrLate guards against an agent that believes for long that
 // its upstream is warm although it has heard nothing since the upstream was away.
 func TestHeartbeatsOfColdUpstreamsAreLostOrLate(t *testing.T) {
+	t.Parallel()
 	for _, upstreams := range []int{4, 8} {
 		for _, downtime := range []time.Duration{160 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
 			for _, delay := range []time.Duration{200 * time.Millisecond, 2 * heartbeatInterval} {
@@ -218,6 +222,7 @@
 // TestClocksStepInTheWarmUp guards against limits that depend on the time of day: upstreams start
 // again with a start time in the past or the future.
 func TestClocksStepInTheWarmUp(t *testing.T) {
+	t.Parallel()
 	for _, step := range []time.Duration{-time.Hour, -time.Second, time.Second, time.Hour} {
 		t.Run(fmt.Sprint(step), func(t *testing.T) {
 			runLimited(t, 12*time.Second, func(w *World) {
