--- a/internal/relay/serving/admission.go
+++ b/internal/relay/serving/admission.go
@@ -123,7 +123,8 @@
 	return defaultSlots
 }
 
-// admitQueued delivers held requests whose turn has come and queued first packets while the upstream has capacity.
+// admitQueued delivers held requests whose turn has come, and queued first packets while the
+// upstream has capacity.
 func (c *Core) admitQueued(now instant.Instant) {
 	c.deliverHeld(now)
 	for _, e := range c.waitQueue.Expire(now) {
