review: case 6, a heartbeat of another writer resets open flows

Cause: a heartbeat that lacks address, capacity and other fields counts as that of a later incarnation of the upstream, so that the agent resets all open flows. Change: the script and its stand-ins; nothing else.

--- /dev/null
+++ b/review/cases/fleet.go
@@ -0,0 +1,482 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jaytack/jaytack/internal/standin/loopback"
+	"github.com/jaytack/jaytack/platform/platformtest"
+)
+
+// Figures of the deployment, those of the small sites.
+const (
+	heartbeatEvery  = 1200 * time.Millisecond
+	flowLifetime    = 60 * time.Second
+	idleTimeout     = 15 * time.Second
+	drainBound      = 3 * time.Second
+	readyInterval   = 500 * time.Millisecond
+	maxMissedProbes = 2
+	// startTimeout is how long the fleet may take until all fronts are ready.
+	startTimeout = 15 * time.Second
+	routePort    = 443
+)
+
+// ports are the ports of all machines.
+type ports struct {
+	callers, ready, control, outbound, app, peers uint16
+}
+
+// machine is a front or side machine with its daemon.
+type machine struct {
+	fleet             *fleet
+	name, role, class string
+	zone              string
+	zoneIndex         int
+	ip                netip.Addr
+	service           string
+	target            *target
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	missed  int
+	isReady bool
+}
+
+// fleet is a small deployment of the real daemons with stand-ins for the platform, clients and
+// targets.
+type fleet struct {
+	rec       *record
+	network   loopback.Network
+	ports     ports
+	binary    string
+	dir       string
+	store     *platformtest.Store
+	storeAddr string
+	machines  []*machine
+	done      chan struct{}
+	closers   []func()
+
+	mu       sync.Mutex
+	requests int
+}
+
+// platformHandler serves the store as the pages describe it: without the header of the stand-in
+// that they do not name.
+type platformHandler struct{ http.Handler }
+
+type plainWriter struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w plainWriter) WriteHeader(status int) {
+	w.Header().Del("Store-Era")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// ServeHTTP implements http.Handler.
+func (h platformHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.Handler.ServeHTTP(plainWriter{w}, r)
+}
+
+// layout is the number of machines in each zone.
+type layout struct {
+	zones, frontsPerZone int
+	// targets holds the number of side machines in each zone by service.
+	targets map[string]int
+}
+
+// services are the services of a fleet, each with an address of its own.
+var services = []string{"padron", "recuento"}
+
+// address returns the address that clients of a service use.
+func address(service string) endpoint {
+	for i, s := range services {
+		if s == service {
+			return endpoint{ipNumber(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)})), routePort}
+		}
+	}
+	return endpoint{}
+}
+
+func newFleet(rec *record, binary string, l layout) (*fleet, error) {
+	network, release, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{rec: rec, network: network, binary: binary, store: platformtest.New(), done: make(chan struct{}), closers: []func(){release}}
+	if f.dir, err = os.MkdirTemp("", "jaytack-review-"); err != nil {
+		return nil, err
+	}
+	f.closers = append(f.closers, func() { _ = os.RemoveAll(f.dir) })
+	if f.ports, err = freePorts(); err != nil {
+		return nil, err
+	}
+	lis, err := net.Listen("tcp4", netip.AddrPortFrom(network.Addr(200, 1), 0).String())
+	if err != nil {
+		return nil, err
+	}
+	srv := &httptest.Server{Listener: lis, Config: &http.Server{Handler: platformHandler{f.store}, ReadHeaderTimeout: time.Second}}
+	srv.Start()
+	f.closers = append(f.closers, func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	f.storeAddr = lis.Addr().String()
+	for z := range l.zones {
+		n := 0
+		add := func(role, class, service string) {
+			n++
+			f.machines = append(f.machines, &machine{
+				fleet: f, name: fmt.Sprintf("%s-zone-%d-%d", class, z, n), role: role, class: class, zone: zoneName(z), zoneIndex: z,
+				ip: network.Addr(byte(z+1), byte(n)), service: service,
+			})
+		}
+		for range l.frontsPerZone {
+			add("balancer", "frontend", "")
+		}
+		for _, s := range services {
+			for range l.targets[s] {
+				add("agent", "side", s)
+			}
+		}
+	}
+	return f, nil
+}
+
+func zoneName(z int) string { return fmt.Sprintf("zone-%d", z) }
+
+// freePorts returns ports that are free on all addresses, below the range that the kernel uses
+// for outgoing connections.
+func freePorts() (p ports, err error) {
+	for _, port := range []*uint16{&p.callers, &p.ready, &p.control, &p.outbound, &p.app, &p.peers} {
+		if *port, err = freePort(); err != nil {
+			return p, err
+		}
+	}
+	return p, nil
+}
+
+func freePort() (uint16, error) {
+	for range 100 {
+		port := uint16(12000 + rand.IntN(18000))
+		lis, err := net.Listen("tcp4", ":"+strconv.Itoa(int(port)))
+		if err != nil {
+			continue
+		}
+		_ = lis.Close()
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{Port: int(port)})
+		if err != nil {
+			continue
+		}
+		_ = conn.Close()
+		return port, nil
+	}
+	return 0, errors.New("no free port")
+}
+
+func (m *machine) addr(port uint16) string { return netip.AddrPortFrom(m.ip, port).String() }
+
+func (m *machine) udp(port uint16) *net.UDPAddr {
+	return net.UDPAddrFromAddrPort(netip.AddrPortFrom(m.ip, port))
+}
+
+// start starts the daemons and targets and waits until all fronts are ready.
+func (f *fleet) start() error {
+	f.publish(1)
+	for _, m := range f.machines {
+		if err := m.startDaemon(); err != nil {
+			return err
+		}
+		if m.role == "agent" {
+			if _, err := f.startTarget(m, "i-"+m.name); err != nil {
+				return err
+			}
+		}
+	}
+	go f.probeFronts()
+	for end := time.Now().Add(startTimeout); ; {
+		if f.allReady() {
+			break
+		}
+		if time.Now().After(end) {
+			return errors.New("the fronts are not ready")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	// Traffic starts some seconds after the machines do.
+	time.Sleep(4 * time.Second)
+	return nil
+}
+
+// publish writes a version of the configuration.
+func (f *fleet) publish(version int) {
+	type wireRoute struct {
+		Name      string `json:"name"`
+		Host      string `json:"host"`
+		Prefix    string `json:"prefix"`
+		Kind      string `json:"kind"`
+		TimeoutMs int    `json:"timeout_ms"`
+		AimMs     int    `json:"aim_ms"`
+		Priority  int    `json:"priority"`
+		Service   string `json:"service"`
+	}
+	var list []wireRoute
+	var named []map[string]any
+	for i, s := range services {
+		a := addrPort(address(s))
+		list = append(list, wireRoute{fmt.Sprintf("r-%d", i), a.Addr().String(), fmt.Sprintf("/%d/", a.Port()), "unsafe", 2500, 150, 1, s})
+		named = append(named, map[string]any{"name": s, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false})
+	}
+	text, err := json.Marshal(map[string]any{
+		"version": version, "routes": list, "services": named,
+		"limits": map[string]int64{"idle_timeout_ms": idleTimeout.Milliseconds()},
+	})
+	if err == nil {
+		f.store.Put("op/config", text)
+	}
+}
+
+// settings returns the settings file of a machine.
+func (m *machine) settings() map[string]any {
+	f := m.fleet
+	zones := make(map[string]string)
+	for _, other := range f.machines {
+		zones[other.zone] = "region"
+	}
+	listen := map[string]string{"datagram_addr": m.addr(f.ports.callers), "ready": m.addr(f.ports.ready)}
+	s := map[string]any{
+		"node_name": m.name, "role": m.role, "machine_class": m.class, "serves": []string{m.class}, "ip": m.ip.String(), "zone": m.zone, "region": "region",
+		"zones": zones, "listen_addrs": listen, "internal_ports": []uint16{f.ports.peers, f.ports.peers + 15}, "seeds": []string{}, "bootstrap": true,
+		"limits":   map[string]any{"cpu_share": 0.24, "cpu_cores": 1, "memory_mb": 152, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 0},
+		"data_dir": nil, "discovery": "local", "entry": "announce", "heartbeat_ms": heartbeatEvery.Milliseconds(),
+		"contracts":       []string{"base", "drain", "config", "cost", "recover", "flows", "platform"},
+		"fault_tolerance": map[string]int{"machines": 2, "zones": 0, "regions": 0},
+		"bounds": map[string]any{
+			"seed_lag_s": 3, "reuse_after_s": 2, "stable_window_ms": 4000, "ack_ms": 5000, "catch_up_s": 4, "drain_ms": drainBound.Milliseconds(), "grace_s": 6, "loss_slack_ms": 200,
+			"config_apply_ms": 3000, "rollback_slack_ms": 250, "max_skew_ms": 12000, "recovery_s": 12, "reorder_ms": 2000, "flow_lifetime_s": flowLifetime.Seconds(),
+		},
+		"hash": "mod", "deploy_mode": "agent",
+		"platform": map[string]any{
+			"address": f.storeAddr, "deploy_mode": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
+		},
+	}
+	if m.role == "agent" {
+		listen["outbound"], listen["control"] = m.addr(f.ports.outbound), m.addr(f.ports.control)
+		s["app"], s["service"] = m.addr(f.ports.app), m.service
+	}
+	return s
+}
+
+// startDaemon starts the daemon of a machine with the command of the deploy file.
+func (m *machine) startDaemon() error {
+	text, err := json.Marshal(m.settings())
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(m.fleet.dir, m.name)
+	if err := os.WriteFile(path+".json", text, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(path+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(m.fleet.binary, m.role, "--metrics-port=9464")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "JAYTACK_BOOT=" + path + ".json"}
+	cmd.Stdout, cmd.Stderr = log, log
+	// The daemon ends with this process, however it ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	m.mu.Lock()
+	m.cmd, m.exited = cmd, exited
+	m.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the daemon of a machine.
+func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		_ = m.cmd.Process.Signal(s)
+	}
+}
+
+// endDaemon sends a signal to the daemon of a machine and waits until it has exited.
+func (m *machine) endDaemon(s syscall.Signal) {
+	m.signal(s)
+	m.mu.Lock()
+	exited := m.exited
+	m.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
+// close ends all processes and stand-ins. The logs of the daemons are kept in keepLogs, if set.
+func (f *fleet) close(keepLogs string) {
+	close(f.done)
+	for _, m := range f.machines {
+		if m.target != nil {
+			m.target.stop()
+		}
+		m.endDaemon(syscall.SIGKILL)
+	}
+	if keepLogs != "" {
+		for _, m := range f.machines {
+			if text, err := os.ReadFile(filepath.Join(f.dir, m.name+".log")); err == nil {
+				_ = os.WriteFile(filepath.Join(keepLogs, m.name+".log"), text, 0o600)
+			}
+		}
+	}
+	for i := len(f.closers) - 1; i >= 0; i-- {
+		f.closers[i]()
+	}
+}
+
+// probeFronts asks all fronts twice a second whether they are ready, as the routers do.
+func (f *fleet) probeFronts() {
+	tick := time.NewTicker(readyInterval)
+	defer tick.Stop()
+	for {
+		for _, m := range f.machines {
+			if m.role == "balancer" {
+				go m.probe()
+			}
+		}
+		select {
+		case <-f.done:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (m *machine) probe() {
+	ctx, cancel := context.WithTimeout(context.Background(), readyInterval)
+	defer cancel()
+	ok := false
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.addr(m.fleet.ports.ready)+"/api/ready", nil)
+	if err == nil {
+		if res, err := http.DefaultClient.Do(req); err == nil {
+			ok = res.StatusCode == http.StatusOK
+			_ = res.Body.Close()
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.missed++; ok {
+		m.missed = 0
+	}
+	m.isReady = ok
+}
+
+func (f *fleet) allReady() bool {
+	for _, m := range f.machines {
+		m.mu.Lock()
+		ok := m.role != "balancer" || m.isReady
+		m.mu.Unlock()
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// frontFor returns the front to which the router of a zone sends a flow: by a hash over those in
+// rotation, over all of the zone if fewer than half are, and nil if there is none.
+func (f *fleet) frontFor(zone int, id flowID) *machine {
+	var ready, all []*machine
+	for _, m := range f.machines {
+		if m.role != "balancer" || m.zoneIndex != zone {
+			continue
+		}
+		all = append(all, m)
+		m.mu.Lock()
+		if m.missed < maxMissedProbes {
+			ready = append(ready, m)
+		}
+		m.mu.Unlock()
+	}
+	if 2*len(ready) < len(all) {
+		ready = all
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[(uint32(id.client.port)*2654435761>>8+id.client.ip)%uint32(len(ready))]
+}
+
+// newRequest returns a new Request-Id.
+func (f *fleet) newRequest() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests++
+	return strconv.Itoa(f.requests)
+}
+
+// sides returns the side machines of a service.
+func (f *fleet) sides(service string) []*machine {
+	var out []*machine
+	for _, m := range f.machines {
+		if m.service == service && m.role == "agent" {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// checkReset checks a reset that the system sent on an open flow: rule FLOW, (a).
+func (f *fleet) checkReset(id flowID, openedAt time.Time) {
+	for _, m := range f.machines {
+		if m.target == nil {
+			continue
+		}
+		idle, held := m.target.holds(id)
+		if !held {
+			continue
+		}
+		switch age := time.Since(openedAt); {
+		case age > flowLifetime || idle > idleTimeout:
+			f.rec.log("reset of %v, %v old and idle for %v", id, age, idle)
+		default:
+			f.rec.breakRule("FLOW: client got a reset of flow %v, open for %v, that its target %s did not send and still holds", id, age.Round(time.Millisecond), m.target.id)
+		}
+	}
+}
+
+// checkOpening checks the packet that opens a flow at a target: rules ROUTE and DRAIN. The caller
+// holds the target's lock.
+func (f *fleet) checkOpening(t *target, id flowID) {
+	if id.address != address(t.machine.service) {
+		f.rec.breakRule("ROUTE: flow %v reached target %s of %s", id, t.id, t.machine.service)
+	}
+	if t.drainAckedAt.IsZero() {
+		return
+	}
+	if since := time.Since(t.drainAckedAt); since > drainBound {
+		f.rec.breakRule("DRAIN: flow %v reached target %s %v after it was acknowledged as draining", id, t.id, since.Round(time.Millisecond))
+	}
+}
