--- a/review/cases/target.go
+++ b/review/cases/target.go
@@ -38,10 +38,11 @@
 	fleet   *fleet
 	machine *machine
 	id      string
-	born    time.Time
-	conn    *net.UDPConn
-	health  *http.Server
-	done    chan struct{}
+	// born is the start time as the machine's time of day showed it, started the true one.
+	born, started time.Time
+	conn          *net.UDPConn
+	health        *http.Server
+	done          chan struct{}
 
 	mu           sync.Mutex
 	alive        bool
@@ -53,8 +54,8 @@
 	flows        map[flowID]*targetFlow
 }
 
-// startTarget starts the target of a side machine.
-func (f *fleet) startTarget(m *machine, id string) (*target, error) {
+// startTarget starts the target of a side machine whose time of day is ahead.
+func (f *fleet) startTarget(m *machine, id string, ahead time.Duration) (*target, error) {
 	conn, err := net.ListenUDP("udp4", m.udp(f.ports.app))
 	if err != nil {
 		return nil, err
@@ -65,7 +66,7 @@
 		return nil, err
 	}
 	t := &target{
-		fleet: f, machine: m, id: id, born: time.Now(), conn: conn, done: make(chan struct{}),
+		fleet: f, machine: m, id: id, born: time.Now().Add(ahead), started: time.Now(), conn: conn, done: make(chan struct{}),
 		alive: true, flows: make(map[flowID]*targetFlow),
 	}
 	t.health = &http.Server{Handler: http.HandlerFunc(t.serveHealth), ReadHeaderTimeout: time.Second}
