review: case 9, a held heartbeat of a crashed target resets the flows of the next one

Cause: a heartbeat with a higher start time replaces the running upstream at once, also one that was sent before the time of day jumped back.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -80,5 +80,10 @@
 			flowLifetime: flowLifetime, idleTimeout: idleTimeout,
 		}, playClockAhead,
 	},
-	10: {smallLayout(2*time.Minute, 90*time.Second), playLongPause},
+	9: {
+		layout{
+			zones: 3, frontsPerZone: 1, targets: map[string]int{"padron": 2, "recuento": 1}, spare: "padron",
+			flowLifetime: flowLifetime, idleTimeout: idleTimeout,
+		}, playHeldHeartbeat,
+	},
 }
--- a/review/cases/target.go
+++ b/review/cases/target.go
@@ -44,18 +44,29 @@
 	health        *http.Server
 	done          chan struct{}
 
-	mu           sync.Mutex
-	alive        bool
-	draining     bool
-	drainAckedAt time.Time
-	sequence     int64
-	running      int
-	queued       []func()
-	flows        map[flowID]*targetFlow
+	mu    sync.Mutex
+	alive bool
+	// heartbeatsHeld is set while heartbeats stay under way.
+	heartbeatsHeld bool
+	draining       bool
+	drainAckedAt   time.Time
+	sequence       int64
+	running        int
+	queued         []func()
+	flows          map[flowID]*targetFlow
 }
 
 // startTarget starts the target of a side machine whose time of day is ahead.
 func (f *fleet) startTarget(m *machine, id string, ahead time.Duration) (*target, error) {
+	t, err := f.newTarget(m, id, ahead)
+	if err == nil {
+		t.run()
+	}
+	return t, err
+}
+
+// newTarget returns a target that listens and does nothing else until run is called.
+func (f *fleet) newTarget(m *machine, id string, ahead time.Duration) (*target, error) {
 	conn, err := net.ListenUDP("udp4", m.udp(f.ports.app))
 	if err != nil {
 		return nil, err
@@ -71,13 +82,17 @@
 	}
 	t.health = &http.Server{Handler: http.HandlerFunc(t.serveHealth), ReadHeaderTimeout: time.Second}
 	go func() { _ = t.health.Serve(lis) }()
-	go t.readPackets()
-	go t.sendHeartbeats()
 	m.target = t
 	f.rec.log("target %s of %s starts at %s", id, m.service, m.ip)
 	return t, nil
 }
 
+// run starts to serve and to send heartbeats.
+func (t *target) run() {
+	go t.readPackets()
+	go t.sendHeartbeats()
+}
+
 // stop ends the target as its process would: all its sockets close.
 func (t *target) stop() {
 	t.mu.Lock()
@@ -114,19 +129,30 @@
 	}
 }
 
-// sendHeartbeat sends a heartbeat with all fields and reports whether it was acknowledged.
-func (t *target) sendHeartbeat() bool {
+// newHeartbeat returns the next heartbeat, with all fields.
+func (t *target) newHeartbeat() map[string]any {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.sequence++
-	draining := t.draining
 	body := map[string]any{
 		"service": t.machine.service, "address": t.machine.addr(t.fleet.ports.app), "zone": t.machine.zone, "version": "v1",
 		"capacity": targetSlots, "state": "ready", "warmup_left_ms": 0, "sequence": t.sequence, "born": t.born.UnixMilli(),
 	}
-	t.mu.Unlock()
-	if draining {
+	if t.draining {
 		body["state"] = "draining"
 	}
+	return body
+}
+
+// sendHeartbeat sends a heartbeat and reports whether it was acknowledged.
+func (t *target) sendHeartbeat() bool {
+	body := t.newHeartbeat()
+	t.mu.Lock()
+	held, draining := t.heartbeatsHeld, t.draining
+	t.mu.Unlock()
+	if held {
+		return false
+	}
 	status := t.machine.postHeartbeat(t.id, body)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -266,7 +292,7 @@
 	f.received += uint32(len(data))
 	f.answer = nil
 	request := string(data)
-	run := func() { t.run(id, f, request) }
+	run := func() { t.work(id, f, request) }
 	switch {
 	case t.running < targetSlots:
 		run()
@@ -279,8 +305,8 @@
 	}
 }
 
-// run works on a request. The caller holds the lock.
-func (t *target) run(id flowID, f *targetFlow, request string) {
+// work runs a request. The caller holds the lock.
+func (t *target) work(id flowID, f *targetFlow, request string) {
 	t.running++
 	f.requests++
 	number := requestNumber(request)
