--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -122,11 +122,11 @@
 // services are the services of a fleet, each with an address of its own.
 var services = []string{"padron", "recuento"}
 
-// address returns the address that clients of a service use.
+// address returns the address that clients of a service use. It stands in packets only.
 func address(service string) endpoint {
 	for i, s := range services {
 		if s == service {
-			return endpoint{ipNumber(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)})), routePort}
+			return endpoint{ipNumber(netip.AddrFrom4([4]byte{127, 255, 0, byte(i + 1)})), routePort}
 		}
 	}
 	return endpoint{}
@@ -193,7 +193,7 @@
 
 func zoneName(z int) string { return fmt.Sprintf("zone-%d", z) }
 
-// freePorts returns ports that are free on all addresses, below the range that the kernel uses
+// freePorts returns ports on which nothing listens, below the range that the kernel uses
 // for outgoing connections.
 func freePorts() (p ports, err error) {
 	for _, port := range []*uint16{&p.callers, &p.ready, &p.control, &p.outbound, &p.app, &p.peers} {
@@ -207,12 +207,12 @@
 func freePort() (uint16, error) {
 	for range 100 {
 		port := uint16(12000 + rand.IntN(18000))
-		lis, err := net.Listen("tcp4", ":"+strconv.Itoa(int(port)))
+		lis, err := net.Listen("tcp4", "127.0.0.1:"+strconv.Itoa(int(port)))
 		if err != nil {
 			continue
 		}
 		_ = lis.Close()
-		conn, err := net.ListenUDP("udp4", &net.UDPAddr{Port: int(port)})
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(port)})
 		if err != nil {
 			continue
 		}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -17,6 +17,9 @@
 	"time"
 )
 
+// maxRunTime is less than the time that a script may take.
+const maxRunTime = 110 * time.Second
+
 // scenario plays one case. trouble is false if the disruption is left out.
 type scenario func(f *fleet, trouble bool) error
 
@@ -26,6 +29,11 @@
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	logs := flag.String("logs", "", "folder for the daemons' logs, if they are to be kept")
 	flag.Parse()
+	time.AfterFunc(maxRunTime, func() {
+		// The daemons end with this process.
+		fmt.Fprintln(os.Stderr, "cases: the case takes too long")
+		os.Exit(2)
+	})
 	breaks, err := play(*number, *binary, *path, *logs, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
