review: messages of the stand-ins stand in text files

Cause: TestPlatformNamesStayInPackage failed, since names of the platform stood in the code of the stand-ins. Change: settings, configuration and heartbeats are templates beside the code.

--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -262,70 +261,42 @@
 // publish writes a version of the configuration. Addresses are routed to their services, except
 // those in moved, which are routed to another one.
 func (f *fleet) publish(version int, moved map[string]string) {
-	type wireRoute struct {
-		Name      string `json:"name"`
-		Host      string `json:"host"`
-		Prefix    string `json:"prefix"`
-		Kind      string `json:"kind"`
-		TimeoutMs int    `json:"timeout_ms"`
-		AimMs     int    `json:"aim_ms"`
-		Priority  int    `json:"priority"`
-		Service   string `json:"service"`
-	}
-	var list []wireRoute
-	var named []map[string]any
-	for i, s := range services {
+	c := configuration{Version: version, Services: services, IdleMillis: f.idleTimeout.Milliseconds()}
+	for _, s := range services {
 		a, to := addrPort(address(s)), s
 		if moved[s] != "" {
 			to = moved[s]
 		}
 		f.allow(address(s), to)
-		list = append(list, wireRoute{fmt.Sprintf("r-%d", i), a.Addr().String(), fmt.Sprintf("/%d/", a.Port()), "unsafe", 2500, 150, 1, to})
-		named = append(named, map[string]any{"name": s, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false})
+		c.Routes = append(c.Routes, configuredRoute{a.Addr().String(), a.Port(), to})
 	}
-	text, err := json.Marshal(map[string]any{
-		"version": version, "routes": list, "services": named,
-		"limits": map[string]int64{"idle_timeout_ms": f.idleTimeout.Milliseconds()},
-	})
+	text, err := encodeMessage("configuration", c)
 	if err == nil {
-		f.store.Put("op/config", text)
+		f.store.Put(configurationKey, text)
 	}
 }
 
-// settings returns the settings file of a machine.
-func (m *machine) settings() map[string]any {
+// settings returns the settings of a machine's daemon.
+func (m *machine) settings() daemonSettings {
 	f := m.fleet
 	zones := make(map[string]string)
 	for _, other := range f.machines {
 		zones[other.zone] = "region"
 	}
-	listen := map[string]string{"datagram_addr": m.addr(f.ports.callers), "ready": m.addr(f.ports.ready)}
-	s := map[string]any{
-		"node_name": m.name, "role": m.role, "machine_class": m.class, "serves": []string{m.class}, "ip": m.ip.String(), "zone": m.zone, "region": "region",
-		"zones": zones, "listen_addrs": listen, "internal_ports": []uint16{f.ports.peers, f.ports.peers + 15}, "seeds": []string{}, "bootstrap": true,
-		"limits":   map[string]any{"cpu_share": 0.24, "cpu_cores": 1, "memory_mb": 152, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 0},
-		"data_dir": nil, "discovery": "local", "entry": "announce", "heartbeat_ms": heartbeatEvery.Milliseconds(),
-		"contracts":       []string{"base", "drain", "config", "cost", "recover", "flows", "platform"},
-		"fault_tolerance": map[string]int{"machines": 2, "zones": 0, "regions": 0},
-		"bounds": map[string]any{
-			"seed_lag_s": 3, "reuse_after_s": 2, "stable_window_ms": 4000, "ack_ms": 5000, "catch_up_s": 4, "drain_ms": drainBound.Milliseconds(), "grace_s": 6, "loss_slack_ms": 200,
-			"config_apply_ms": 3000, "rollback_slack_ms": 250, "max_skew_ms": 12000, "recovery_s": 12, "reorder_ms": 2000, "flow_lifetime_s": f.flowLifetime.Seconds(),
-		},
-		"hash": "mod", "deploy_mode": "agent",
-		"platform": map[string]any{
-			"address": m.storeAddr, "deploy_mode": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
-		},
+	s := daemonSettings{
+		Name: m.name, Role: m.role, Class: m.class, IP: m.ip.String(), Zone: m.zone, Zones: zones, Callers: m.addr(f.ports.callers), Ready: m.addr(f.ports.ready),
+		Store: m.storeAddr, Peers: f.ports.peers, LastPeers: f.ports.peers + 15,
+		HeartbeatMillis: heartbeatEvery.Milliseconds(), DrainMillis: drainBound.Milliseconds(), LifetimeSeconds: f.flowLifetime.Seconds(),
 	}
 	if m.role == "agent" {
-		listen["outbound"], listen["control"] = m.addr(f.ports.outbound), m.addr(f.ports.control)
-		s["app"], s["service"] = m.addr(f.ports.app), m.service
+		s.Outbound, s.Control, s.App, s.Service = m.addr(f.ports.outbound), m.addr(f.ports.control), m.addr(f.ports.app), m.service
 	}
 	return s
 }
 
 // startDaemon starts the daemon of a machine with the command of the deploy file.
 func (m *machine) startDaemon() error {
-	text, err := json.Marshal(m.settings())
+	text, err := encodeMessage("settings", m.settings())
 	if err != nil {
 		return err
 	}
@@ -338,7 +309,7 @@
 		return err
 	}
 	cmd := exec.Command(m.fleet.binary, m.role, "--metrics-port=9464")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "JAYTACK_BOOT=" + path + ".json"}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), settingsVariable + "=" + path + ".json"}
 	cmd.Stdout, cmd.Stderr = log, log
 	// The daemon ends with this process, however it ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/cases/oddheartbeat.go
+++ b/review/cases/oddheartbeat.go
@@ -33,8 +33,8 @@
 	}
 	f.rec.log("target %s holds %d open flows", victim.target.id, victim.target.openFlows())
 	if trouble {
-		status := victim.postHeartbeat("i-other", map[string]any{"service": victim.service, "state": "ready", "sequence": 1, "born": time.Now().UnixMilli()})
-		f.rec.log("another writer sent a heartbeat without address, zone, version, capacity and warmup_left_ms to the agent of %s: status %d", victim.target.id, status)
+		status := victim.postHeartbeat("i-other", heartbeat{Service: victim.service, State: "ready", Sequence: 1, Born: time.Now().UnixMilli()})
+		f.rec.log("another writer sent a heartbeat without address, zone, version, capacity and remaining warm-up time to the agent of %s: status %d", victim.target.id, status)
 	}
 	time.Sleep(5 * time.Second)
 	close(stop)
--- a/review/cases/target.go
+++ b/review/cases/target.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -130,34 +129,34 @@
 }
 
 // newHeartbeat returns the next heartbeat, with all fields.
-func (t *target) newHeartbeat() map[string]any {
+func (t *target) newHeartbeat() heartbeat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sequence++
-	body := map[string]any{
-		"service": t.machine.service, "address": t.machine.addr(t.fleet.ports.app), "zone": t.machine.zone, "version": "v1",
-		"capacity": targetSlots, "state": "ready", "warmup_left_ms": 0, "sequence": t.sequence, "born": t.born.UnixMilli(),
+	h := heartbeat{
+		Service: t.machine.service, Address: t.machine.addr(t.fleet.ports.app), Zone: t.machine.zone, State: "ready",
+		Capacity: targetSlots, Sequence: t.sequence, Born: t.born.UnixMilli(),
 	}
 	if t.draining {
-		body["state"] = "draining"
+		h.State = "draining"
 	}
-	return body
+	return h
 }
 
 // sendHeartbeat sends a heartbeat and reports whether it was acknowledged.
 func (t *target) sendHeartbeat() bool {
-	body := t.newHeartbeat()
+	h := t.newHeartbeat()
 	t.mu.Lock()
 	held, draining := t.heartbeatsHeld, t.draining
 	t.mu.Unlock()
 	if held {
 		return false
 	}
-	status := t.machine.postHeartbeat(t.id, body)
+	status := t.machine.postHeartbeat(t.id, h)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if status/100 != 2 {
-		t.fleet.rec.log("target %s heartbeat %v of state %v: status %d", t.id, body["sequence"], body["state"], status)
+		t.fleet.rec.log("target %s heartbeat %v of state %v: status %d", t.id, h.Sequence, h.State, status)
 		return false
 	}
 	if draining && t.drainAckedAt.IsZero() {
@@ -169,13 +168,13 @@
 
 // postHeartbeat sends a heartbeat to the control address of a machine and returns the status, 0
 // for no answer.
-func (m *machine) postHeartbeat(id string, body map[string]any) int {
-	text, err := json.Marshal(body)
+func (m *machine) postHeartbeat(id string, h heartbeat) int {
+	text, err := encodeMessage("heartbeat", h)
 	if err != nil {
 		return 0
 	}
 	c := http.Client{Timeout: ackTimeout}
-	res, err := c.Post("http://"+m.addr(m.fleet.ports.control)+"/api/Instances.Heartbeat/"+id, "application/json", strings.NewReader(string(text)))
+	res, err := c.Post("http://"+m.addr(m.fleet.ports.control)+heartbeatPath+id, "application/json", strings.NewReader(string(text)))
 	if err != nil {
 		return 0
 	}
