--- a/review/cases/clockahead.go
+++ b/review/cases/clockahead.go
@@ -12,13 +12,15 @@
 	clockAhead = 2 * time.Second
 	// restartDelay is how long the platform takes to start an ended process again.
 	restartDelay = 100 * time.Millisecond
+	// restartGap is the site's time between two steps of planned work.
+	restartGap = 1300 * time.Millisecond
 	// calmTime is longer than stable_window_ms.
 	calmTime = 4500 * time.Millisecond
 )
 
-// playClockAhead adds a side machine whose time of day is ahead when its target starts, restarts
-// its daemon and then the fronts of its zone in turn, and has clients use flows again that they
-// opened before.
+// playClockAhead replaces a target by one on a new side machine, whose time of day is ahead when it
+// starts, restarts the daemon beside it and then the fronts of its zone in turn, and has clients
+// use flows again that they opened before.
 func playClockAhead(f *fleet, trouble bool) error {
 	added := f.spareMachine()
 	if err := added.startDaemon(); err != nil {
@@ -34,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.oldTarget().drainAndLeave(); err != nil {
+		return err
+	}
 	time.Sleep(100 * time.Millisecond)
 	flows, err := f.openFlows(added.zoneIndex, "padron", 40)
 	if err != nil {
@@ -44,6 +49,7 @@
 	if t.openFlows() == 0 {
 		return errors.New("the new target got no flows")
 	}
+	stoppedAt := time.Now()
 	f.rec.log("the daemon of %s is stopped and started", added.name)
 	if err := added.restartDaemon(); err != nil {
 		return err
@@ -52,11 +58,12 @@
 		if m.role != "balancer" || m.zoneIndex != added.zoneIndex {
 			continue
 		}
+		time.Sleep(time.Until(stoppedAt.Add(restartGap)))
+		stoppedAt = time.Now()
 		f.rec.log("the daemon of %s is stopped and started", m.name)
 		if err := m.restartDaemon(); err != nil {
 			return err
 		}
-		time.Sleep(time.Second)
 	}
 	time.Sleep(calmTime)
 	var wg sync.WaitGroup
@@ -77,6 +84,9 @@
 	return nil
 }
 
+// oldTarget returns the target that a release replaces by that of the spare machine.
+func (f *fleet) oldTarget() *target { return f.sides("padron")[0].target }
+
 // restartDaemon stops the daemon as in planned work and starts it again.
 func (m *machine) restartDaemon() error {
 	m.endDaemon(syscall.SIGTERM)
--- a/review/cases/heldheartbeat.go
+++ b/review/cases/heldheartbeat.go
@@ -9,8 +9,8 @@
 // maxClockStep is the largest step of the time of day that the site file names.
 const maxClockStep = 2400 * time.Millisecond
 
-// playHeldHeartbeat adds a side machine whose target starts while the time of day is ahead and
-// crashes. Another one starts after the time of day has jumped back. The first heartbeat of the
+// playHeldHeartbeat replaces a target by one on a new side machine, which starts while the time of
+// day is ahead and crashes. Another one starts after the time of day has jumped back. The first heartbeat of the
 // crashed target is held up, and arrives while the other one serves.
 func playHeldHeartbeat(f *fleet, trouble bool) error {
 	m := f.spareMachine()
@@ -26,6 +26,9 @@
 	crashed.heartbeatsHeld = true
 	late := crashed.newHeartbeat()
 	crashed.run()
+	if err := f.oldTarget().drainAndLeave(); err != nil {
+		return err
+	}
 	time.Sleep(time.Second)
 	f.rec.log("target %s crashes, and the time of day jumps back", crashed.id)
 	crashed.stop()
--- a/review/cases/messages.go
+++ b/review/cases/messages.go
@@ -14,10 +14,12 @@
 
 var templates = template.Must(template.New("").Funcs(template.FuncMap{"json": encodeJSON}).ParseFS(files, "messages/*.tmpl"))
 
-// Names of the platform: the path of heartbeats, which a target's id follows, the variable with
-// the path of the settings file, and the store's key of the configuration.
+// Names of the platform: the paths of heartbeats and of the notice that a target leaves, which its
+// id follows, the variable with the path of the settings file, and the store's key of the
+// configuration.
 var (
 	heartbeatPath    = readName("heartbeat-path")
+	leavePath        = readName("leave-path")
 	settingsVariable = readName("settings-variable")
 	configurationKey = readName("configuration-key")
 )
--- a/review/cases/missingentries.go
+++ b/review/cases/missingentries.go
@@ -37,6 +37,7 @@
 	if err := restarted.restartDaemon(); err != nil {
 		return err
 	}
+	time.Sleep(time.Until(start.Add(restartGap)))
 	for _, m := range f.machines {
 		if m.role == "balancer" && m.zoneIndex == restarted.zoneIndex {
 			f.rec.log("the daemon of %s is stopped and started", m.name)
--- a/review/cases/target.go
+++ b/review/cases/target.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +19,9 @@
 	targetWork  = 25 * time.Millisecond
 	// ackTimeout is how long a target waits for the acknowledgement of a heartbeat.
 	ackTimeout = time.Second
+	// daemonStopDelay is how long after the end of a target the daemon beside it is stopped, as on
+	// the bench.
+	daemonStopDelay = 2 * time.Second
 )
 
 // targetFlow is the target's end of a flow.
@@ -166,6 +171,32 @@
 	return true
 }
 
+// drainAndLeave ends the target as the old one of a release. It returns once the agent has
+// acknowledged that the target drains; the rest happens in the background.
+func (t *target) drainAndLeave() error {
+	t.mu.Lock()
+	t.draining = true
+	t.mu.Unlock()
+	t.sendHeartbeat()
+	t.mu.Lock()
+	acked := !t.drainAckedAt.IsZero()
+	t.mu.Unlock()
+	if !acked {
+		return errors.New("draining was not acknowledged")
+	}
+	time.AfterFunc(drainBound+500*time.Millisecond, func() {
+		t.fleet.rec.log("target %s leaves with %d open flows", t.id, t.openFlows())
+		c := http.Client{Timeout: ackTimeout}
+		res, err := c.Post("http://"+t.machine.addr(t.fleet.ports.control)+leavePath+t.id, "application/json", strings.NewReader("{}"))
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		t.stop()
+		time.AfterFunc(daemonStopDelay, func() { t.machine.endDaemon(syscall.SIGTERM) })
+	})
+	return nil
+}
+
 // postHeartbeat sends a heartbeat to the control address of a machine and returns the status, 0
 // for no answer.
 func (m *machine) postHeartbeat(id string, h heartbeat) int {
