--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -68,7 +68,7 @@
 	a := &Agent{
 		Process: p, upstreamConn: upstreamConn, done: make(chan struct{}),
 		core: serving.New(serving.Config{
-			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec,
+			Self: p.Self(), Service: s.Service, DataCentre: s.DataCentre, Incarnation: p.Incarnation(), Codec: p.Codec, Upstream: s.Upstream,
 			Started: p.Now(), StartedMillis: p.StartedMillis(), HeartbeatEvery: s.HeartbeatEvery, FlowLifetime: s.FlowLifetime,
 			WarmUp: s.WarmUp, CrossDataCentreCost: s.CrossDataCentreCost, EjectFailing: s.EjectFailing,
 		}),
--- a/internal/relay/serving/evacuations_test.go
+++ b/internal/relay/serving/evacuations_test.go
@@ -27,7 +27,7 @@
 	}
 	f := &evacuationFixture{now: instant.Instant(time.Second)}
 	f.Core = serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: codec})
-	f.HandleHeartbeat(f.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Slots: 1})
+	f.HandleHeartbeat(f.now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 1, Slots: 1})
 	f.ApplyStored(f.now, others)
 	f.TakeOutput()
 	return f
@@ -218,7 +218,7 @@
 	for _, startedLater := range []bool{false, true} {
 		f := newEvacuationFixture(agentRecord(8, "b"))
 		f.Core = serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: f.Codec, Started: f.now, StartedMillis: 1_000_000, FlowLifetime: time.Minute})
-		beat := serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 99, Slots: 1}
+		beat := serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 99, Slots: 1}
 		if startedLater {
 			beat.Born, beat.Sequence = 1_000_001, 1
 		}
--- a/internal/relay/serving/locality_test.go
+++ b/internal/relay/serving/locality_test.go
@@ -46,7 +46,7 @@
 		Self: home, Service: "padron", DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime,
 		CrossDataCentreCost: crossDataCentreCost,
 	})
-	g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Slots: 4})
+	g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 1, Slots: 4})
 	return g
 }
 
@@ -162,13 +162,13 @@
 	})
 	t.Run("LocalDrain", func(t *testing.T) {
 		g := newGroup(true)
-		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 2, Slots: 4, Draining: true})
+		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 2, Slots: 4, Draining: true})
 		g.start()
 		qt.Assert(t, g.placeRemotely(flows, 1, 1, draining), qt.Equals, flows)
 	})
 	t.Run("LocalUnheard", func(t *testing.T) {
 		g := newGroup(true)
-		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 2, Slots: 4, Draining: true})
+		g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 2, Slots: 4, Draining: true})
 		g.start()
 		g.run(3*time.Second, 0, 1, message.State_StateUnknown, 6*time.Millisecond)
 		qt.Assert(t, g.placeRemotely(flows, 0, 1, message.State_StateUnknown), qt.Equals, flows)
@@ -225,7 +225,7 @@
 	const otherLocal flow.IP = 9
 	random := rand.New(rand.NewPCG(1, 1))
 	g := newGroup(false)
-	g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 2, Slots: 4, Draining: true})
+	g.HandleHeartbeat(g.now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 2, Slots: 4, Draining: true})
 	g.start()
 	remotely := 0
 	for range 500 {
--- a/internal/relay/serving/scheduling_test.go
+++ b/internal/relay/serving/scheduling_test.go
@@ -51,7 +51,7 @@
 
 func (a *busyAgent) heartbeat(name string, born int64, draining bool) serving.Heartbeat {
 	a.beats++
-	return serving.Heartbeat{Upstream: name, Service: "padron", Born: born, Sequence: a.beats, Slots: 2, Draining: draining}
+	return serving.Heartbeat{Upstream: name, Service: "padron", DataCentre: "a", Born: born, Sequence: a.beats, Slots: 2, Draining: draining}
 }
 
 func (a *busyAgent) register(name string, i int, p flow.Packet) []byte {
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -25,6 +25,7 @@
 package serving
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/clock/instant"
@@ -136,6 +137,8 @@
 	DataCentre  string
 	Incarnation uint64
 	Codec       flow.Codec
+	// Upstream is where the upstream receives packets.
+	Upstream netip.AddrPort
 	// Started is when the process started, StartedMillis the same in Unix milliseconds.
 	Started       instant.Instant
 	StartedMillis int64
@@ -156,6 +159,9 @@
 type Heartbeat struct {
 	Upstream string
 	Service  string
+	// Address is where the upstream receives packets.
+	Address    netip.AddrPort
+	DataCentre string
 	// Born is the start time of the upstream in Unix milliseconds. Sequence counts its
 	// heartbeats.
 	Born     int64
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -56,7 +56,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: firstPacketCodec(test.copies)})
 			now := instant.Instant(time.Second)
-			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Draining: true, Slots: 4})
+			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 1, Draining: true, Slots: 4})
 			c.TakeOutput()
 			c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
 				Packet: []byte{1}, Step: message.Step_StepHome, Service: "padron", DataCentre: "a", Balancer: 5,
@@ -86,7 +86,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: firstPacketCodec(0)})
 			now := instant.Instant(time.Second)
-			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Draining: true, Slots: 4})
+			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 1, Draining: true, Slots: 4})
 			c.Tick(now)
 			now = now.Add(test.pause)
 			if test.tickFirst {
@@ -134,7 +134,7 @@
 			codec.DecodeFromUpstream = func([]byte) (flow.Packet, bool) { return fromUpstream, true }
 			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: codec})
 			now := instant.Instant(time.Second)
-			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Slots: 4})
+			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 1, Slots: 4})
 			sendPacket := func(step message.Step, p flow.Packet) {
 				fromCaller = p
 				c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
@@ -187,7 +187,7 @@
 				Self: 7, Service: "padron", DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime,
 				Started: now.Add(-test.age), StartedMillis: 1000,
 			})
-			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 90, Slots: 4})
+			c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 90, Slots: 4})
 			c.TakeOutput()
 			c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
 				Packet: []byte{1}, Step: message.Step_StepOwner, Service: "padron", DataCentre: "a", Balancer: 5, KnownOnly: true,
@@ -235,7 +235,7 @@
 			})
 			heartbeat := func() {
 				c.HandleHeartbeat(now, serving.Heartbeat{
-					Upstream: "u", Service: "padron", Born: (started - test.startedBefore).Milliseconds(), Sequence: heartbeatSequence, Slots: 4,
+					Upstream: "u", Service: "padron", DataCentre: "a", Born: (started - test.startedBefore).Milliseconds(), Sequence: heartbeatSequence, Slots: 4,
 				})
 			}
 			if test.heardBefore {
@@ -296,7 +296,7 @@
 			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: firstPacketCodec(0), HeartbeatEvery: 1200 * time.Millisecond})
 			start := instant.Instant(time.Minute)
 			for _, b := range test.beats {
-				h := serving.Heartbeat{Upstream: b.upstream, Service: "padron", Born: b.born, Sequence: b.sequence, Slots: 4}
+				h := serving.Heartbeat{Upstream: b.upstream, Service: "padron", DataCentre: "a", Born: b.born, Sequence: b.sequence, Slots: 4}
 				qt.Check(t, c.HandleHeartbeat(start.Add(b.at*time.Millisecond), h), qt.Equals, b.accepted, qt.Commentf("%v", b))
 			}
 		})
@@ -321,9 +321,9 @@
 	})
 	c.HandleUpstreamPacket(now, []byte{1})
 	now = now.Add(2 * time.Second)
-	qt.Assert(t, c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "crashed", Service: "padron", Born: 1000, Sequence: 9, Slots: 4}), qt.IsTrue)
+	qt.Assert(t, c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "crashed", Service: "padron", DataCentre: "a", Born: 1000, Sequence: 9, Slots: 4}), qt.IsTrue)
 	c.TakeOutput()
-	qt.Assert(t, c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "running", Service: "padron", Born: 20_000, Sequence: 33, Slots: 4}), qt.IsTrue)
+	qt.Assert(t, c.HandleHeartbeat(now, serving.Heartbeat{Upstream: "running", Service: "padron", DataCentre: "a", Born: 20_000, Sequence: 33, Slots: 4}), qt.IsTrue)
 	qt.Check(t, countResets(c), qt.Equals, 0)
 	c.HandleMessage(now, 5, &message.Envelope{Body: &message.Envelope_Carried{Carried: &message.Carried{
 		Packet: []byte{1}, Step: message.Step_StepProbe, Service: "padron", DataCentre: "a", Balancer: 6,
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -17,12 +17,12 @@
 	}
 }
 
-// HandleHeartbeat processes a heartbeat of the upstream and reports whether it was accepted: it
-// belongs to this service, and its sender is the upstream that runs. Only an accepted heartbeat
-// may be acknowledged.
+// HandleHeartbeat processes a heartbeat of the upstream and reports whether it was accepted: its
+// sender is the upstream that runs beside this agent. Only an accepted heartbeat may be
+// acknowledged.
 func (c *Core) HandleHeartbeat(now instant.Instant, h Heartbeat) bool {
 	if h.Service != c.Service {
-		c.LogStateChange("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service)
+		c.LogNotable("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service, "Address", h.Address, "DataCentre", h.DataCentre)
 		return false
 	}
 	old := c.upstream.Heartbeat
--- a/internal/relay/serving/warmup_test.go
+++ b/internal/relay/serving/warmup_test.go
@@ -54,7 +54,7 @@
 		}
 		delivered, _, _ := f.take()
 		qt.Assert(t, delivered, qt.HasLen, int(flows))
-		f.HandleHeartbeat(f.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Slots: 1, ColdFor: 5 * time.Second})
+		f.HandleHeartbeat(f.now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 1, Slots: 1, ColdFor: 5 * time.Second})
 		for range 24 {
 			f.now = f.now.Add(50 * time.Millisecond)
 			f.Tick(f.now)
@@ -78,7 +78,7 @@
 			f.now = f.now.Add(serving.TickInterval)
 		}
 	}
-	f.HandleHeartbeat(f.now, serving.Heartbeat{Upstream: "u", Service: "padron", Born: 1, Sequence: 1, Slots: 4})
+	f.HandleHeartbeat(f.now, serving.Heartbeat{Upstream: "u", Service: "padron", DataCentre: "a", Born: 1, Sequence: 1, Slots: 4})
 	listen(700 * time.Millisecond)
 	f.take()
 	f.now = f.now.Add(3 * time.Second)
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -247,7 +247,7 @@
 	w.At(3*time.Second, func() { w.Restart(a, 100*time.Millisecond) })
 	w.At(3150*time.Millisecond, func() {
 		// A heartbeat of an earlier upstream of the instance, delayed by a partition.
-		a.Agent.HandleHeartbeat(w.now, serving.Heartbeat{Upstream: "old", Service: "padron", Born: -5, Sequence: 90})
+		a.Agent.HandleHeartbeat(w.now, serving.Heartbeat{Upstream: "old", Service: "padron", DataCentre: a.DataCentre, Born: -5, Sequence: 90})
 	})
 	w.Run(8 * time.Second)
 	qt.Assert(t, w.Violations, qt.HasLen, 0)
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -136,7 +136,7 @@
 func (u *Upstream) newHeartbeat() serving.Heartbeat {
 	u.heartbeatSequence++
 	return serving.Heartbeat{
-		Upstream: u.name(), Service: u.Name, Born: u.born, Sequence: u.heartbeatSequence, Draining: u.draining, Slots: u.Slots,
+		Upstream: u.name(), Service: u.Name, DataCentre: u.p.DataCentre, Born: u.born, Sequence: u.heartbeatSequence, Draining: u.draining, Slots: u.Slots,
 		ColdFor: max(0, warmUpTime-u.w.now.Sub(u.startedAt)),
 	}
 }
