Reject heartbeats that name another address or data centre

Callers could see the flows of an upstream reset by the heartbeat of one that runs elsewhere: the agent compared only the service, so that a heartbeat of another instance's upstream, with a later start, replaced its own.

Change: the agent compares address and data centre with its settings too.

TestHeartbeatOfAnotherPlaceIsRejected failed for address and zone before.

--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -21,7 +21,7 @@
 // sender is the upstream that runs beside this agent. Only an accepted heartbeat may be
 // acknowledged.
 func (c *Core) HandleHeartbeat(now instant.Instant, h Heartbeat) bool {
-	if h.Service != c.Service {
+	if h.Service != c.Service || h.Address != c.Upstream || h.DataCentre != c.DataCentre {
 		c.LogNotable("HeartbeatForeign", "Upstream", h.Upstream, "Service", h.Service, "Address", h.Address, "DataCentre", h.DataCentre)
 		return false
 	}
