Replace an upstream only on signs of its own

A draining upstream was opened to new flows in the same way, and its own heartbeats were refused for two intervals.

Cause: the agent ordered incarnations by their start times alone. One heartbeat with a later start made its sender the upstream and reset the flows of the known one, although that had sent a heartbeat a moment ago.

Change: an incarnation that two heartbeats have confirmed is replaced only once there is a sign that it has ended: its heartbeat is overdue, or since the last one it has refused connections or bounced an open flow. The start of another incarnation resets no flow any more. The agent delivers the last packet of each open flow again, and the upstream bounces those that it does not hold, which proves that they have ended. Until the next heartbeat decides, the upstream counts as cold. Each flow now keeps its last packet.

--- a/internal/relay/flowtable/flow.go
+++ b/internal/relay/flowtable/flow.go
@@ -55,8 +55,8 @@
 	// OthersIncomplete is set if they may lack some.
 	OtherServices, UnnamedServices []string
 	OthersIncomplete               bool
-	// LastRequestPacket is the caller's last packet of the request in progress.
-	LastRequestPacket []byte
+	// LastPacket is the caller's last packet that was delivered.
+	LastPacket []byte
 	// Excluded lists the agents that have already rejected the new flow.
 	Excluded []uint32
 	// PlacedBy is the home that placed the new flow, 0 if unknown.
@@ -121,6 +121,9 @@
 // the open flow, or the caller has acknowledged that it accepted the flow.
 func (f *Flow) IsHeld() bool { return f.Phase == Open || f.acknowledged }
 
+// IsClosing reports whether one of the ends has finished the flow.
+func (f *Flow) IsClosing() bool { return f.callerFinished || f.upstreamFinished }
+
 // HasEnded reports whether both ends have finished the flow.
 func (f *Flow) HasEnded() bool { return f.callerFinished && f.upstreamFinished }
 
--- a/internal/relay/flowtable/flowtable.go
+++ b/internal/relay/flowtable/flowtable.go
@@ -229,7 +229,6 @@
 		return
 	}
 	t.busy--
-	f.LastRequestPacket = nil
 	if f.waiting {
 		f.waiting = false
 		t.waiting--
--- a/internal/relay/serving/checkpoint.go
+++ b/internal/relay/serving/checkpoint.go
@@ -66,14 +66,3 @@
 		}
 	}
 }
-
-// resetReplacedFlows resets the flows of the known upstream, which another one has replaced.
-func (c *Core) resetReplacedFlows() {
-	c.flows.All(func(f *flowtable.Flow) {
-		if c.isHeldByKnownUpstream(f) {
-			c.sendHint(f.ID, f.Balancer, 0)
-			c.resetFlow(f.ID, f.LastAck, "UpstreamReplaced")
-			c.flows.Delete(f)
-		}
-	})
-}
--- a/internal/relay/serving/incarnation.go
+++ b/internal/relay/serving/incarnation.go
@@ -40,33 +40,56 @@
 	}
 }
 
-// isCurrent reports whether a heartbeat was sent by the upstream that runs now. One that
-// started later than the known upstream replaces it at once. Any other incarnation replaces it
-// if it goes on to send heartbeats while the known one sends none: a late heartbeat is not
-// followed by others, and only one upstream runs beside the agent.
+// isCurrent reports whether a heartbeat was sent by the upstream that runs now. A single
+// heartbeat of another incarnation shows neither that it still runs nor that the known one has
+// ended: it may have been under way while its sender crashed and the known one started. So an
+// incarnation that two heartbeats have confirmed is replaced only once there is a sign that it
+// has ended. Without one for certain, and whenever the start times say otherwise, the other has
+// to go on sending heartbeats while the known one sends none: a late heartbeat is not followed
+// by others, and only one upstream runs beside the agent.
 func (c *Core) isCurrent(now instant.Instant, h Heartbeat) bool {
 	u := &c.upstream
 	i := h.incarnation()
+	mayReplace := !u.isConfirmed || c.mayHaveEnded(now)
 	switch {
 	case !u.hasHeartbeat:
 		return true
 	case i == u.incarnation():
 		return h.Sequence > u.Sequence
-	case h.Born > u.Born && !slices.Contains(u.predecessors, i):
+	case h.Born > u.Born && !slices.Contains(u.predecessors, i) && mayReplace:
 		return true
 	case i != u.candidate.incarnation || h.Sequence < u.candidate.sequence:
 		u.candidate = candidate{i, h.Sequence, now}
 		return false
 	}
-	return h.Sequence > u.candidate.sequence && now.Sub(u.candidate.since) >= c.confirmAfter()
+	return mayReplace && h.Sequence > u.candidate.sequence && now.Sub(u.candidate.since) >= c.confirmAfter()
+}
+
+// mayHaveEnded reports whether there is a sign that the known upstream has ended: its heartbeat
+// is overdue, or since the last one it has refused connections or lost a flow.
+func (c *Core) mayHaveEnded(now instant.Instant) bool {
+	u := &c.upstream
+	return c.isHeartbeatOverdue(now) || u.hasLeft || u.refusedSince > u.lastHeartbeat || u.lostFlowAt > u.lastHeartbeat
 }
 
 // confirmAfter is how long after the first heartbeat of a candidate another one confirms it:
 // more than the time in which a paused process handles the heartbeats that it has missed, and
 // less than the interval between heartbeats.
 func (c *Core) confirmAfter() time.Duration {
+	return c.heartbeatEvery() / 2
+}
+
+// heartbeatEvery returns the interval between the upstream's heartbeats.
+func (c *Core) heartbeatEvery() time.Duration {
 	if c.HeartbeatEvery == 0 {
-		return defaultHeartbeatEvery / 2
+		return defaultHeartbeatEvery
 	}
-	return c.HeartbeatEvery / 2
+	return c.HeartbeatEvery
+}
+
+// isHeartbeatOverdue reports whether the upstream's next heartbeat is late by half an interval in
+// the time in which this process has listened: after a pause it handles unread packets first, and
+// the heartbeats among them may come last.
+func (c *Core) isHeartbeatOverdue(now instant.Instant) bool {
+	return c.listenTime(now)-c.upstream.heartbeatListenTime > c.heartbeatEvery()+c.confirmAfter()
 }
--- a/internal/relay/serving/owner.go
+++ b/internal/relay/serving/owner.go
@@ -60,9 +60,7 @@
 		// A packet that ends a request or its flow may have freed a slot.
 		defer c.deliverHeld(now)
 	}
-	if f.Busy() && p.Len > 0 {
-		f.LastRequestPacket = p.Bytes
-	}
+	f.LastPacket = p.Bytes
 	if p.Len > 0 {
 		c.expectResponse(now, &c.upstream.dataPendingSince, &c.upstream.dataPending)
 	}
@@ -275,7 +273,10 @@
 		c.updateState(now)
 		c.redirect(now, p, m)
 	case f != nil && f.Phase == flowtable.Open:
-		c.recordAway(now, f.HeardAt)
+		if f.UpstreamBorn == 0 || f.UpstreamBorn == c.upstream.Born {
+			c.upstream.lostFlowAt = now
+			c.recordAway(now, f.HeardAt)
+		}
 		c.flows.Delete(f)
 		c.sendHint(p.Flow, f.Balancer, 0)
 		c.resetFlow(p.Flow, p.AckSeq, "UpstreamLostFlow", "Age", now.Sub(f.StartedAt), "Requests", f.Requests)
--- a/internal/relay/serving/scheduling.go
+++ b/internal/relay/serving/scheduling.go
@@ -123,7 +123,7 @@
 	c.expectResponse(now, &c.upstream.dataPendingSince, &c.upstream.dataPending)
 	for _, p := range r.Packets() {
 		if f != nil {
-			f.LastRequestPacket = p.Bytes
+			f.LastPacket = p.Bytes
 		}
 		c.deliver(now, &message.Carried{Packet: p.Bytes}, p, 0)
 	}
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -209,10 +209,15 @@
 type upstreamState struct {
 	Heartbeat
 	hasHeartbeat bool
+	// isConfirmed is set once two heartbeats of the known incarnation have come.
+	isConfirmed bool
 	// predecessors holds the incarnations that were replaced, the latest last. candidate is
 	// one that may replace the known one, empty if there is none.
 	predecessors []incarnation
 	candidate    candidate
+	// lostFlowAt is when the known incarnation was last found not to hold a flow that had been
+	// open at it. flowsCheckedAt is when it was last checked which flows the upstream holds.
+	lostFlowAt, flowsCheckedAt instant.Instant
 	// lastHeard is when the upstream last sent a packet or a heartbeat; lastHeartbeat
 	// is when it last sent a heartbeat.
 	lastHeard, lastHeartbeat instant.Instant
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -290,12 +290,20 @@
 		{"ClockJumpedBackSameName", []beat{{0, "a", next, 7, true}, {2000, "a", first, 1, false}, {3200, "a", first, 2, true}}},
 		{"ClockJumpedBackAndRetries", []beat{{0, "a", next, 7, true}, {2000, "b", first, 1, false}, {2010, "b", first, 2, false}, {3200, "b", first, 3, true}}},
 		{"LateWithALaterStart", []beat{{0, "b", first, 3, true}, {100, "a", next, 9, true}, {1200, "b", first, 4, false}, {2400, "b", first, 5, true}}},
+		{"LateWithALaterStartBesideTheRunning", []beat{{0, "b", first, 3, true}, {1200, "b", first, 4, true}, {1300, "a", next, 1, false}, {2400, "b", first, 5, true}}},
+		{"SeveralLateWithALaterStart", []beat{{0, "b", first, 3, true}, {1200, "b", first, 4, true}, {1300, "a", next, 1, false}, {2000, "a", next, 2, false}, {2400, "b", first, 5, true}, {2500, "a", next, 3, false}, {3600, "b", first, 6, true}}},
+		{"ReplacedSoon", []beat{{0, "a", first, 7, true}, {1200, "a", first, 8, true}, {1900, "b", next, 1, false}, {3100, "b", next, 2, true}, {4300, "b", next, 3, true}}},
+		{"ReplacedAfterSilence", []beat{{0, "a", first, 7, true}, {1200, "a", first, 8, true}, {3100, "b", next, 1, true}, {4300, "b", next, 2, true}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := serving.New(serving.Config{Self: 7, Service: "padron", DataCentre: "a", Codec: firstPacketCodec(0), HeartbeatEvery: 1200 * time.Millisecond})
 			start := instant.Instant(time.Minute)
+			now := start
 			for _, b := range test.beats {
+				for ; now <= start.Add(b.at*time.Millisecond); now = now.Add(serving.TickInterval) {
+					c.Tick(now)
+				}
 				h := serving.Heartbeat{Upstream: b.upstream, Service: "padron", DataCentre: "a", Born: b.born, Sequence: b.sequence, Slots: 4}
 				qt.Check(t, c.HandleHeartbeat(start.Add(b.at*time.Millisecond), h), qt.Equals, b.accepted, qt.Commentf("%v", b))
 			}
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -27,7 +27,10 @@
 	}
 	old := c.upstream.Heartbeat
 	if !c.isCurrent(now, h) {
-		c.LogNotable("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "Known", old.Upstream, "KnownBorn", old.Born, "KnownSequence", old.Sequence)
+		c.LogNotable("HeartbeatLate", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "Known", old.Upstream, "KnownBorn", old.Born, "KnownSequence", old.Sequence, "Beat", now.Sub(c.upstream.lastHeartbeat))
+		if h.Born > old.Born && now.Sub(c.upstream.flowsCheckedAt) > c.confirmAfter() {
+			c.expectSuccessor(now, h)
+		}
 		return false
 	}
 	replaced := c.upstream.hasHeartbeat && h.incarnation() != old.incarnation()
@@ -38,11 +41,7 @@
 	if replaced {
 		c.upstream.recordPredecessor(old.incarnation())
 	}
-	if succeeds && h.Sequence <= maxStartSequence {
-		// One that has run for longer may hold flows that this process takes for those of the
-		// known one, whose last heartbeat may have been late.
-		c.resetReplacedFlows()
-	}
+	c.upstream.isConfirmed = c.upstream.hasHeartbeat && !replaced || c.upstream.candidate.incarnation == h.incarnation()
 	if replaced || !c.upstream.hasHeartbeat {
 		c.flows.ResetSpeed()
 	}
@@ -58,7 +57,7 @@
 	if replaced {
 		c.warmUp.ForgetAll()
 		c.LogStateChange("UpstreamReplaced", "Upstream", h.Upstream, "Born", h.Born, "Sequence", h.Sequence, "Before", old.Upstream, "BornBefore", old.Born)
-		c.redeliverRequests(old.Born)
+		c.checkFlows(now, h.Born)
 		// These were not delivered to the earlier upstream.
 		c.deliverAllHeld(now, "UpstreamReplaced")
 	}
@@ -69,19 +68,30 @@
 	return true
 }
 
+// expectSuccessor handles a heartbeat that may be the first one of the upstream's successor. Until
+// the next heartbeat decides that, the upstream counts as cold, and callers learn of the flows
+// that have ended if it is one.
+func (c *Core) expectSuccessor(now instant.Instant, h Heartbeat) {
+	// Answers on flows that were open before the last heartbeat show that it is the known one.
+	c.recordAway(now, c.upstream.lastHeartbeat)
+	c.upstream.coldUntil = max(c.upstream.coldUntil, now.Add(h.ColdFor))
+	c.checkFlows(now, h.Born)
+}
+
 // startedAfterAgent reports whether the first heartbeat heard of an upstream shows that it
 // started after this process, by its start time and by its low sequence, since clocks may jump.
 func (c *Core) startedAfterAgent(h Heartbeat) bool {
 	return h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds()
 }
 
-// redeliverRequests redelivers the caller's last packet of each request in progress on a
-// flow that the upstream with the given start time accepted. Flows whose packet bounces
-// are reset; an upstream that still holds a flow receives a harmless duplicate.
-func (c *Core) redeliverRequests(born int64) {
+// checkFlows redelivers the caller's last packet of each open flow that the upstream with the
+// given start time did not accept. It bounces those of the flows that it does not hold, which
+// are then reset; of any other it gets a duplicate.
+func (c *Core) checkFlows(now instant.Instant, born int64) {
+	c.upstream.flowsCheckedAt = now
 	c.flows.All(func(f *flowtable.Flow) {
-		if f.UpstreamBorn == born && f.LastRequestPacket != nil {
-			c.Emit(action.Action{Kind: action.Deliver, Flow: f.ID, Bytes: f.LastRequestPacket})
+		if f.IsHeld() && !f.IsClosing() && !f.IsWaiting() && f.UpstreamBorn != born && f.LastPacket != nil {
+			c.Emit(action.Action{Kind: action.Deliver, Flow: f.ID, Bytes: f.LastPacket})
 		}
 	})
 }
--- a/internal/relay/serving/warmup.go
+++ b/internal/relay/serving/warmup.go
@@ -34,7 +34,7 @@
 // heartbeat has come since the process started or since the upstream was away, or one is overdue.
 func (c *Core) mayBeCold(now instant.Instant) bool {
 	u := &c.upstream
-	return u.coldUntil > now || !u.hasHeartbeat || u.mayHaveRestarted || c.isHeartbeatOverdue(now)
+	return u.coldUntil > now || !u.hasHeartbeat || u.mayHaveRestarted || c.HeartbeatEvery > 0 && c.isHeartbeatOverdue(now)
 }
 
 // recordAway records a sign that the upstream is or was away. Only a packet on a flow that it
@@ -63,13 +63,6 @@
 	}
 }
 
-// isHeartbeatOverdue reports whether the upstream's next heartbeat is late by half an interval in
-// the time in which this process has listened: after a pause it handles unread packets first, and
-// the heartbeats among them may come last.
-func (c *Core) isHeartbeatOverdue(now instant.Instant) bool {
-	return c.HeartbeatEvery > 0 && c.listenTime(now)-c.upstream.heartbeatListenTime > c.HeartbeatEvery+c.confirmAfter()
-}
-
 // listenTime returns how long the process has listened.
 func (c *Core) listenTime(now instant.Instant) time.Duration {
 	return c.upstream.listenTime + min(now.Sub(c.lastTick), maxTickGap)
