Recover from a heartbeat with a high sequence

Callers could be sent to a draining upstream: one heartbeat with the upstream's own id and start and a sequence far ahead made all later ones look late, so that neither draining nor its warm-up was noticed until its sequence caught up or it restarted. The decoder bounds the sequence only by one a millisecond.

Change: heartbeats with lower sequences are believed as those of another incarnation are: two of them, half an interval apart, while none follows the high one, which is then overdue.

The case HighSequence of TestOnlyTheRunningUpstreamIsBelieved failed before.

--- a/internal/relay/serving/incarnation.go
+++ b/internal/relay/serving/incarnation.go
@@ -42,8 +42,8 @@
 
 // isCurrent reports whether a heartbeat was sent by the upstream that runs now. A single
 // heartbeat of another incarnation shows neither that it still runs nor that the known one has
-// ended: it may have been under way while its sender crashed and the known one started. So an
-// incarnation that two heartbeats have confirmed is replaced only once there is a sign that it
+// ended: it may have been under way while its sender crashed and the known one started. Neither
+// does a high sequence show that later lower ones are late. So an incarnation that two heartbeats have confirmed is replaced only once there is a sign that it
 // has ended. Without one for certain, and whenever the start times say otherwise, the other has
 // to go on sending heartbeats while the known one sends none: a late heartbeat is not followed
 // by others, and only one upstream runs beside the agent.
@@ -54,9 +54,9 @@
 	switch {
 	case !u.hasHeartbeat:
 		return true
-	case i == u.incarnation():
-		return h.Sequence > u.Sequence
-	case h.Born > u.Born && !slices.Contains(u.predecessors, i) && mayReplace:
+	case i == u.incarnation() && h.Sequence > u.Sequence:
+		return true
+	case i != u.incarnation() && h.Born > u.Born && !slices.Contains(u.predecessors, i) && mayReplace:
 		return true
 	case i != u.candidate.incarnation || h.Sequence < u.candidate.sequence:
 		u.candidate = candidate{i, h.Sequence, now}
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -294,6 +294,7 @@
 		{"SeveralLateWithALaterStart", []beat{{0, "b", first, 3, true}, {1200, "b", first, 4, true}, {1300, "a", next, 1, false}, {2000, "a", next, 2, false}, {2400, "b", first, 5, true}, {2500, "a", next, 3, false}, {3600, "b", first, 6, true}}},
 		{"ReplacedSoon", []beat{{0, "a", first, 7, true}, {1200, "a", first, 8, true}, {1900, "b", next, 1, false}, {3100, "b", next, 2, true}, {4300, "b", next, 3, true}}},
 		{"ReplacedAfterSilence", []beat{{0, "a", first, 7, true}, {1200, "a", first, 8, true}, {3100, "b", next, 1, true}, {4300, "b", next, 2, true}}},
+		{"HighSequence", []beat{{0, "a", first, 7, true}, {1200, "a", first, 3_000_000, true}, {2400, "a", first, 8, false}, {3600, "a", first, 9, true}, {4800, "a", first, 10, true}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
