End the flows of a leaving upstream only once it refuses connections

Callers could see all flows of a running upstream reset 300 ms after the late leave of an earlier one under the same id: the notice names only the id, and nothing else was asked.

The state becomes gone, and the flows end, once a connection is refused, which an upstream that has exited does at once; the next heartbeat withdraws the leave. An agent that stops checks once more, so that an upstream that has just left does not seem to go on.

TestLateLeaveEndsNoFlow failed before.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -212,19 +212,24 @@
 			return
 		default:
 		}
-		a.mu.Lock()
-		needed := a.core.NeedsListenCheck()
-		a.mu.Unlock()
-		if !needed {
-			continue
-		}
-		conn, err := net.DialTimeout("tcp4", a.Settings.Upstream.String(), serving.ListenCheckInterval)
-		if err == nil {
-			_ = conn.Close()
-		}
-		refused := errors.Is(err, syscall.ECONNREFUSED)
-		a.update(func(c *serving.Core) { c.HandleListenCheck(a.Now(), refused) })
+		a.checkOnce()
+	}
+}
+
+// checkOnce connects to the upstream if the core needs to know whether it listens.
+func (a *Agent) checkOnce() {
+	a.mu.Lock()
+	needed := a.core.NeedsListenCheck()
+	a.mu.Unlock()
+	if !needed {
+		return
+	}
+	conn, err := net.DialTimeout("tcp4", a.Settings.Upstream.String(), serving.ListenCheckInterval)
+	if err == nil {
+		_ = conn.Close()
 	}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	a.update(func(c *serving.Core) { c.HandleListenCheck(a.Now(), refused) })
 }
 
 func (a *Agent) registerMetrics() {
@@ -270,6 +275,8 @@
 // Drain announces the stop, so that new flows go to other agents, and serves
 // requests in progress for drainDelay unless the upstream is gone.
 func (a *Agent) Drain() {
+	// An upstream that has just left must not seem to go on running.
+	a.checkOnce()
 	restarting := false
 	a.update(func(c *serving.Core) {
 		c.Stop(a.Now())
--- a/internal/relay/serving/incarnation.go
+++ b/internal/relay/serving/incarnation.go
@@ -66,10 +66,10 @@
 }
 
 // mayHaveEnded reports whether there is a sign that the known upstream has ended: its heartbeat
-// is overdue, or since the last one it has refused connections or lost a flow.
+// is overdue, or since the last one it has refused connections, lost a flow or said that it leaves.
 func (c *Core) mayHaveEnded(now instant.Instant) bool {
 	u := &c.upstream
-	return c.isHeartbeatOverdue(now) || u.hasLeft || u.refusedSince > u.lastHeartbeat || u.lostFlowAt > u.lastHeartbeat
+	return c.isHeartbeatOverdue(now) || u.hasLeft || u.leaveNoticedAt != 0 || u.refusedSince > u.lastHeartbeat || u.lostFlowAt > u.lastHeartbeat
 }
 
 // confirmAfter is how long after the first heartbeat of a candidate another one confirms it:
--- a/internal/relay/serving/listening.go
+++ b/internal/relay/serving/listening.go
@@ -15,11 +15,11 @@
 	notListeningAfter = 500 * time.Millisecond
 )
 
-// NeedsListenCheck reports whether the upstream is silent, so that a connection attempt has
-// to show whether it runs: one that hangs or is cut off accepts connections or does not
-// answer, one that has ended refuses them.
+// NeedsListenCheck reports whether the upstream is silent or has said that it is leaving, so that
+// a connection attempt has to show whether it runs: one that hangs or is cut off accepts
+// connections or does not answer, one that has ended refuses them.
 func (c *Core) NeedsListenCheck() bool {
-	return c.upstream.lastHeard == 0 && !c.upstream.absent || c.state == message.State_StateSilent
+	return c.upstream.lastHeard == 0 && !c.upstream.absent || c.state == message.State_StateSilent || c.upstream.leaveNoticedAt != 0
 }
 
 // HandleListenCheck handles the result of a connection attempt to the upstream. An upstream
@@ -34,6 +34,10 @@
 	if u.refusedSince == 0 || u.refusedSince < u.lastHeard {
 		u.refusedSince = now
 	}
+	if u.leaveNoticedAt != 0 {
+		c.recordLeft(now)
+		return
+	}
 	if now.Sub(u.refusedSince) < notListeningAfter && !(u.lastHeard == 0 && u.leftBefore) {
 		return
 	}
--- a/internal/relay/serving/locality_test.go
+++ b/internal/relay/serving/locality_test.go
@@ -198,6 +198,7 @@
 	g.run(6*time.Second, 40, 1, message.State_StateReady, 6*time.Millisecond)
 	qt.Assert(t, g.Locality(g.now)["b"].Share, qt.Equals, 1.0)
 	g.HandleLeave(g.now, "u")
+	g.HandleListenCheck(g.now, true)
 	g.TakeOutput()
 	changes := 0
 	for i := range 100 {
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -234,7 +234,10 @@
 	awaySince, awayNoticedAt instant.Instant
 	// startedLater is set if the upstream certainly started after this process.
 	startedLater bool
-	hasLeft      bool
+	// leaveNoticedAt is when the upstream said that it is leaving, 0 if it has not since its last
+	// heartbeat. hasLeft is set once it has refused connections since.
+	leaveNoticedAt instant.Instant
+	hasLeft        bool
 	// leftBefore is set if the store says that it left during the previous process. Another
 	// one may have started since.
 	leftBefore bool
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -52,7 +52,7 @@
 	c.flows.SetSlots(c.slots())
 	c.upstream.lastHeartbeat, c.upstream.candidate = now, candidate{}
 	c.upstream.heartbeatListenTime = c.listenTime(now)
-	c.upstream.hasLeft, c.upstream.resetFlowsAt = false, 0
+	c.upstream.hasLeft, c.upstream.resetFlowsAt, c.upstream.leaveNoticedAt = false, 0, 0
 	c.upstream.coldUntil, c.upstream.mayHaveRestarted = now.Add(h.ColdFor), false
 	if replaced {
 		c.warmUp.ForgetAll()
@@ -107,13 +107,22 @@
 	})
 }
 
-// HandleLeave processes the notice that the upstream of this name has left.
+// HandleLeave processes the notice that the upstream of this name is leaving. It may be a late
+// one of an earlier upstream with the same name, so that the flows end only once the upstream
+// refuses connections.
 func (c *Core) HandleLeave(now instant.Instant, name string) {
 	if !c.upstream.hasHeartbeat || name != c.upstream.Upstream {
 		c.LogNotable("LeaveLate", "Upstream", name, "Known", c.upstream.Upstream)
 		return
 	}
-	c.upstream.hasLeft, c.upstream.resetFlowsAt = true, now.Add(leaveGracePeriod)
+	c.LogNotable("LeaveNoticed", "Upstream", name, "Beat", now.Sub(c.upstream.lastHeartbeat))
+	c.upstream.leaveNoticedAt = now
+}
+
+// recordLeft records that the upstream has left: it has said so, and refuses connections.
+func (c *Core) recordLeft(now instant.Instant) {
+	u := &c.upstream
+	u.hasLeft, u.resetFlowsAt, u.leaveNoticedAt = true, u.leaveNoticedAt.Add(leaveGracePeriod), 0
 	c.updateState(now)
 }
 
--- a/internal/standin/relay/otherwriters_test.go
+++ b/internal/standin/relay/otherwriters_test.go
@@ -67,3 +67,18 @@
 	qt.Check(t, u.SynsReceived, qt.Equals, offered)
 	qt.Check(t, w.Violations, qt.HasLen, 0)
 }
+
+// TestLateLeaveEndsNoFlow guards against the reset of all flows of an upstream by the late leave of
+// an earlier one that had the same name. It goes on to serve new flows too.
+func TestLateLeaveEndsNoFlow(t *testing.T) {
+	w := New(Registro(22))
+	u := w.Agents[0].Upstream
+	offered := 0
+	w.At(5*time.Second, func() {
+		w.dispatch(u.p, func() { u.p.Agent.HandleLeave(w.now, u.name()) })
+		offered = u.SynsReceived
+	})
+	w.Run(9 * time.Second)
+	qt.Check(t, w.Violations, qt.HasLen, 0)
+	qt.Check(t, u.SynsReceived > offered, qt.IsTrue)
+}
