Believe a member before an entry about it

Callers could see open flows reset while the entry of an agent was one of another writer's that said, with a higher incarnation, that its upstream had left: the record replaced what the member itself had reported, searches passed over it, and its next reports were refused for a second as those of an earlier process.

Change: a member that has left according to the store alone is asked for a report first, whether or not it has reported before. Its own report replaces a record of the store whatever the incarnations are, and such a record does not come back while the member reports.

TestStoredRecordEndsNoReportingMember and TestStoredLeaveOfASilentMemberIsBelieved failed before.

--- a/internal/relay/membership/member.go
+++ b/internal/relay/membership/member.go
@@ -23,9 +23,12 @@
 	// interval is the interval at which the member reports to this process, 0 if it
 	// reports only changes.
 	interval time.Duration
-	// storedGoneSince is when the store first said that the upstream of a member that has not
-	// reported itself has left.
-	storedGoneSince instant.Instant
+	// isStored is set if the record was read from the store, storedAt is when.
+	isStored bool
+	storedAt instant.Instant
+	// distrusted is the incarnation of a record of the store that the member's own reports have
+	// contradicted, 0 if there is none.
+	distrusted uint64
 	// expected is set if the member has to report to this process regularly. expectedSince
 	// is when that was last known to begin.
 	expected      bool
@@ -60,12 +63,19 @@
 // HasLeft reports whether the member's upstream has left, so that it holds no flows. The store
 // may say so although another one has started, which the member then reports.
 func (m *Member) HasLeft(now instant.Instant) bool {
-	return m.State == message.State_StateGone && (m.LastReport != neverSeen || now.Sub(m.storedGoneSince) >= confirmGoneAfter)
+	return m.State == message.State_StateGone && (!m.isStored || now.Sub(m.storedAt) >= confirmGoneAfter)
+}
+
+// acceptsEarlier reports whether a report with a lower incarnation is accepted: the clock of a
+// restarted process may have been set back, and another writer may have left the known record in
+// the store.
+func (m *Member) acceptsEarlier(now instant.Instant, rec *message.Record) bool {
+	return rec.Incarnation < m.Incarnation && (m.isStored || now.Sub(m.LastReport) >= incarnationResetAfter)
 }
 
 // isUnconfirmed reports whether nothing recent shows that the member still exists.
 func (m *Member) isUnconfirmed(now instant.Instant) bool {
-	storedGone := m.State == message.State_StateGone && m.LastReport == neverSeen && now.Sub(m.storedGoneSince) < 2*confirmGoneAfter
+	storedGone := m.State == message.State_StateGone && m.isStored && now.Sub(m.storedAt) < 2*confirmGoneAfter
 	return m.IsSuspect(now) || storedGone || !m.inStore && now.Sub(m.LastReport) > unconfirmedAfter
 }
 
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -163,11 +163,16 @@
 // at an interval or, if that is 0, only changes. It reports whether the record was accepted.
 func (t *Table) ApplyReport(now instant.Instant, rec *message.Record, interval time.Duration) bool {
 	m := t.members[flow.IP(rec.Instance)]
-	if m != nil && !supersedes(rec, m.Record) && (rec.Incarnation >= m.Incarnation || now.Sub(m.LastReport) < incarnationResetAfter) {
-		return false
+	if m != nil && !supersedes(rec, m.Record) {
+		if !m.acceptsEarlier(now, rec) {
+			return false
+		}
+		if m.isStored {
+			m.distrusted = m.Incarnation
+		}
 	}
 	m = t.set(m, rec)
-	m.LastReport, m.interval = now, interval
+	m.LastReport, m.interval, m.isStored = now, interval, false
 	t.updateIndex(now)
 	return true
 }
@@ -186,9 +191,9 @@
 	}
 	for _, rec := range recs {
 		m := t.members[flow.IP(rec.Instance)]
-		if m == nil || supersedes(rec, m.Record) {
+		if m == nil || supersedes(rec, m.Record) && !(rec.Incarnation == m.distrusted && m.IsReporting(now)) {
 			m = t.set(m, rec)
-			m.storedGoneSince = now
+			m.isStored, m.storedAt = true, now
 		}
 		m.inStore = true
 		m.LastSeen = now
