Take no late report of an earlier process for a leave

Callers could see open flows reset after a report that was late on the way: one of an earlier process of an agent, whose upstream had left, was accepted if the present process had not reported for a second, as those do that report only changes. Searches then passed over the agent until its next report.

Change: a report with a lower incarnation, which may be of a process whose clock was set back, no longer says that the upstream has left. Once such a process is known by another report, its leave is believed as before.

TestLateReportOfAnEarlierProcessEndsNothing failed before.

--- a/internal/relay/membership/member.go
+++ b/internal/relay/membership/member.go
@@ -68,9 +68,10 @@
 
 // acceptsEarlier reports whether a report with a lower incarnation is accepted: the clock of a
 // restarted process may have been set back, and another writer may have left the known record in
-// the store.
+// the store. A late report of an earlier process looks the same, so that none says in this way
+// that the flows of the upstream have ended.
 func (m *Member) acceptsEarlier(now instant.Instant, rec *message.Record) bool {
-	return rec.Incarnation < m.Incarnation && (m.isStored || now.Sub(m.LastReport) >= incarnationResetAfter)
+	return rec.Incarnation < m.Incarnation && rec.State != message.State_StateGone && (m.isStored || now.Sub(m.LastReport) >= incarnationResetAfter)
 }
 
 // isUnconfirmed reports whether nothing recent shows that the member still exists.
--- a/internal/relay/membership/otherwriters_test.go
+++ b/internal/relay/membership/otherwriters_test.go
@@ -45,3 +45,25 @@
 	qt.Check(t, table.Member(2).HasLeft(now), qt.IsFalse)
 	qt.Check(t, table.Member(2).HasLeft(now.Add(confirmGoneAfter)), qt.IsTrue)
 }
+
+// TestLateReportOfAnEarlierProcessEndsNothing guards against the reset of open flows after a late
+// report of an earlier process of a member, whose upstream had left: the member, which reports
+// only changes to this process, counts as left until its next report.
+func TestLateReportOfAnEarlierProcessEndsNothing(t *testing.T) {
+	now := instant.Instant(time.Minute)
+	table := New(1, "a", "padron")
+	current := member(2, "a", 1)
+	current.Incarnation = 5
+	qt.Assert(t, table.ApplyReport(now, current, 0), qt.IsTrue)
+	now = now.Add(2 * incarnationResetAfter)
+	late := member(2, "a", 90)
+	late.State = message.State_StateGone
+	qt.Check(t, table.ApplyReport(now, late, 0), qt.IsFalse)
+	qt.Check(t, table.Member(2).HasLeft(now), qt.IsFalse)
+	// A process whose clock has been set back is believed, and then that its upstream has left.
+	qt.Check(t, table.ApplyReport(now, member(2, "a", 91), 0), qt.IsTrue)
+	left := member(2, "a", 92)
+	left.State = message.State_StateGone
+	qt.Check(t, table.ApplyReport(now, left, 0), qt.IsTrue)
+	qt.Check(t, table.Member(2).HasLeft(now), qt.IsTrue)
+}
