Take no upstream for started later that must have been missed

Callers saw open flows reset after planned restarts: a target started while its clock was 2 s ahead, and its agent was restarted before the second heartbeat.

Change: the agent also compares the sequence with its own steady clock. It must have listened long enough to have heard all heartbeats since the start of the upstream.

--- a/internal/relay/membership/otherwriters_test.go
+++ b/internal/relay/membership/otherwriters_test.go
@@ -18,7 +18,9 @@
 	table := New(1, "a", "padron")
 	odd := member(2, "a", 0)
 	odd.Incarnation, odd.State = 900, message.State_StateGone
-	report := func(sequence uint64) bool { return table.ApplyReport(now, member(2, "a", sequence), 200*time.Millisecond) }
+	report := func(sequence uint64) bool {
+		return table.ApplyReport(now, member(2, "a", sequence), 200*time.Millisecond)
+	}
 	table.ApplyStored(now, []*message.Record{member(2, "a", 1)})
 	qt.Assert(t, report(2), qt.IsTrue)
 	now = now.Add(100 * time.Millisecond)
--- a/internal/relay/serving/serving_test.go
+++ b/internal/relay/serving/serving_test.go
@@ -206,20 +206,23 @@
 
 // TestProbesReachNoUpstreamThatHoldsNoFlow guards against packets of open flows that searches
 // deliver to other upstreams: the agent knows all flows of its upstream, or the upstream has
-// just started and gets the probe when it listens.
+// just started and gets the probe when it listens. It also guards against the denial of open
+// flows by an agent that has restarted after its upstream, whose clock was ahead at the start.
 func TestProbesReachNoUpstreamThatHoldsNoFlow(t *testing.T) {
-	const heartbeatSequence = 1
 	tests := []struct {
 		name string
-		// startedBefore is how long before the agent the upstream has started.
+		// startedBefore is how long before the agent the upstream has started by its clock.
 		startedBefore time.Duration
+		sequence      int64
 		heardBefore   bool
 		delivered     int
 		denied        bool
 	}{
-		{"StartedAfterTheAgent", -time.Second, true, 0, true},
-		{"StartedLongBeforeTheAgent", time.Minute, true, 1, false},
-		{"NotHeardYet", -time.Second, false, 1, false},
+		{"StartedAfterTheAgent", -time.Second, 1, true, 0, true},
+		{"StartedLongBeforeTheAgent", time.Minute, 1, true, 1, false},
+		{"NotHeardYet", -time.Second, 1, false, 1, false},
+		// The agent has listened for less than the interval between two heartbeats.
+		{"StartedBeforeTheAgentWithItsClockAhead", -time.Second, 2, true, 1, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -231,11 +234,11 @@
 			started := 2 * time.Minute
 			c := serving.New(serving.Config{
 				Self: 7, Service: "padron", DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime,
-				Started: now.Add(-time.Second), StartedMillis: started.Milliseconds(),
+				Started: now.Add(-time.Second), StartedMillis: started.Milliseconds(), HeartbeatEvery: 1200 * time.Millisecond,
 			})
 			heartbeat := func() {
 				c.HandleHeartbeat(now, serving.Heartbeat{
-					Upstream: "u", Service: "padron", DataCentre: "a", Born: (started - test.startedBefore).Milliseconds(), Sequence: heartbeatSequence, Slots: 4,
+					Upstream: "u", Service: "padron", DataCentre: "a", Born: (started - test.startedBefore).Milliseconds(), Sequence: test.sequence, Slots: 4,
 				})
 			}
 			if test.heardBefore {
--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -1,6 +1,8 @@
 package serving
 
 import (
+	"time"
+
 	"github.com/jaytack/jaytack/internal/clock/instant"
 	"github.com/jaytack/jaytack/internal/relay/action"
 	"github.com/jaytack/jaytack/internal/relay/flow"
@@ -36,7 +38,7 @@
 	replaced := c.upstream.hasHeartbeat && h.incarnation() != old.incarnation()
 	succeeds := replaced && h.Born > old.Born
 	if replaced || !c.upstream.hasHeartbeat {
-		c.upstream.startedLater = c.upstream.startedLater && succeeds || c.startedAfterAgent(h)
+		c.upstream.startedLater = c.upstream.startedLater && succeeds || c.startedAfterAgent(now, h)
 	}
 	if replaced {
 		c.upstream.recordPredecessor(old.incarnation())
@@ -79,9 +81,11 @@
 }
 
 // startedAfterAgent reports whether the first heartbeat heard of an upstream shows that it
-// started after this process, by its start time and by its low sequence, since clocks may jump.
-func (c *Core) startedAfterAgent(h Heartbeat) bool {
-	return h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds()
+// started after this process, by its start time and by its low sequence. Since clocks may jump,
+// it must also have been possible for the process to hear all heartbeats before.
+func (c *Core) startedAfterAgent(now instant.Instant, h Heartbeat) bool {
+	heardFirst := now.Sub(c.Started) >= time.Duration(h.Sequence-1)*c.heartbeatEvery()
+	return h.Sequence <= maxStartSequence && h.Born >= c.StartedMillis-startTolerance.Milliseconds() && heardFirst
 }
 
 // checkFlows redelivers the caller's last packet of each open flow that the upstream with the
