Pass over entries without an incarnation or with one that nothing exceeds

An agent could vanish from the fleet for good: an entry of another writer under its key with an incarnation of 2^53 was valid, its next process took a higher one, and peers rejected all its reports for that. An entry without an incarnation became a member that every report supersedes.

Change: a record needs an incarnation, and that of an entry may be at most 366 days ahead of the time of day.

NoIncarnation and IncarnationFarAhead of TestOddEntryOfAnotherWriterIsPassedOver failed before. The odd entries of that test had no lease, so that all of them were rejected for that alone; they have one now, and the others pass with it.

--- a/internal/relay/message/message.go
+++ b/internal/relay/message/message.go
@@ -78,6 +78,8 @@
 		return eris.Wrap(ErrRecord, "no data centre")
 	case max(len(r.Service), len(r.DataCentre), len(r.Upstream)) > maxNameBytes:
 		return eris.Wrap(ErrRecord, "a name is too long")
+	case r.Incarnation == 0:
+		return eris.Wrap(ErrRecord, "no incarnation")
 	case r.Incarnation > maxIncarnation || r.Sequence > maxIncarnation:
 		return eris.Wrapf(ErrRecord, "incarnation %d, sequence %d", r.Incarnation, r.Sequence)
 	case State_name[int32(r.State)] == "":
--- a/internal/relay/registry/entry.go
+++ b/internal/relay/registry/entry.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
@@ -22,6 +24,10 @@
 	return changed
 }
 
+// maxAhead is how far an incarnation may be ahead of the time of day: clocks that were ahead and
+// restarts add to it. The next process of the instance must still be able to exceed it.
+const maxAhead = 366 * 24 * time.Hour
+
 // decodeEntry returns the record of an entry. Another writer may have left the entry, so that
 // it may hold anything; every process writes its own under a lease.
 func decodeEntry(kv store.KV) (*message.Record, error) {
@@ -34,6 +40,8 @@
 		return nil, eris.Wrapf(message.ErrRecord, "instance %v", flow.IP(rec.Instance))
 	case kv.Lease == 0:
 		return nil, eris.Wrap(message.ErrRecord, "no lease")
+	case rec.Incarnation > uint64(time.Now().Add(maxAhead).UnixMilli()):
+		return nil, eris.Wrapf(message.ErrRecord, "incarnation %d", rec.Incarnation)
 	}
 	return rec, rec.Check()
 }
--- a/internal/relay/registry/oddentry_test.go
+++ b/internal/relay/registry/oddentry_test.go
@@ -59,6 +59,8 @@
 		{"UnknownState", "0.0.0.9", valid(func(r *message.Record) { r.State = 99 })},
 		{"NoDataCentre", "0.0.0.9", valid(func(r *message.Record) { r.DataCentre = "" })},
 		{"LongName", "0.0.0.9", valid(func(r *message.Record) { r.Service = strings.Repeat("s", 1<<16) })},
+		{"NoIncarnation", "0.0.0.9", valid(func(r *message.Record) { r.Incarnation = 0 })},
+		{"IncarnationFarAhead", "0.0.0.9", valid(func(r *message.Record) { r.Incarnation = 1 << 53 })},
 		{"NoLease", "0.0.0.9", valid(nothing)},
 	}
 	for _, test := range odd {
@@ -66,7 +68,13 @@
 			t.Parallel()
 			f := newFixture(t)
 			writer := store.New([]netip.AddrPort{f.address}, 10*time.Second)
-			_, _, err := writer.Commit(context.Background(), nil, []store.Put{{Key: Prefix + store.Key(test.key), Value: test.value}})
+			put := store.Put{Key: Prefix + store.Key(test.key), Value: test.value}
+			if test.name != "NoLease" {
+				lease, err := writer.Grant(context.Background(), time.Minute)
+				qt.Assert(t, err, qt.IsNil)
+				put.Lease = lease
+			}
+			_, _, err := writer.Commit(context.Background(), nil, []store.Put{put})
 			qt.Assert(t, err, qt.IsNil)
 			f.start(1, 1)
 			f.start(2, 1)
