Replace an entry that another writer has put over the own one

Processes that started later knew an agent by what another writer had written over its entry, for instance as one of another service or as gone: the agent replaced only entries that it could not read.

Change: an entry under the own key with a later revision and another incarnation is logged and written again, as an unreadable one is.

TestOverwrittenEntryIsReplaced failed before.

--- a/internal/relay/registry/oddentry_test.go
+++ b/internal/relay/registry/oddentry_test.go
@@ -151,3 +151,22 @@
 		})
 	}
 }
+
+// TestOverwrittenEntryIsReplaced guards against a process that others no longer know as it is,
+// since another writer has put an entry in place of its own while it runs.
+func TestOverwrittenEntryIsReplaced(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.start(1, 5)
+	f.waitUntil(time.Second, func() bool { return f.entry(1) != nil })
+	value, err := proto.Marshal(&message.Record{Instance: 1, Service: "recuento", DataCentre: "a", Incarnation: 900, State: message.State_StateGone})
+	qt.Assert(t, err, qt.IsNil)
+	lease, err := f.client().Grant(context.Background(), time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	_, _, err = f.client().Commit(context.Background(), nil, []store.Put{{Key: Prefix + store.Key(flow.IP(1).String()), Value: value, Lease: lease}})
+	qt.Assert(t, err, qt.IsNil)
+	f.waitUntil(readIntervalMax+2*time.Second, func() bool {
+		rec := f.entry(1)
+		return rec != nil && rec.Incarnation == 5
+	})
+}
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -289,6 +289,8 @@
 			r.adoptEntry(kv, rec)
 		case r.restored:
 			r.checkEntry(kv, rec)
+		case kv.Revision > r.revision && rec.Incarnation != r.Record().Incarnation:
+			r.recordOddEntry(kv, eris.Wrapf(message.ErrRecord, "incarnation %d of no process", rec.Incarnation))
 		}
 	}
 	if r.restored && !foundOwn {
