Reset no flow while agents of another service may be unknown

Callers saw resets of open flows after planned restarts: a route had moved to another service, the store had turned the agents of the former one away and taken their entries, and an agent of the new one restarted meanwhile.

Cause: an entry of its own that is still there settled the table of the agent, although it says nothing about the entries of others.

Change: for 12 s after the first read, a service without known agents counts as one that could not be asked, so that a search does not end in a reset. The agent then reads the entries at once, at most every 0.5 s, so that the caller's next packet finds the service.

--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -161,6 +161,9 @@
 		}
 	}
 	a.Log(entries)
+	if a.core.TakeMembersWanted() {
+		a.registry.ReadSoon()
+	}
 	if state := a.core.State(); state != a.publishedState {
 		previous := a.publishedState
 		a.publishedState = state
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -61,6 +61,10 @@
 	// SettleAfter is how long live members may be missing from the store after it
 	// lost records: they write them again within 2 s.
 	SettleAfter = 2 * time.Second
+	// lostEntriesPeriod is how long after the first read of the store entries may still be missing
+	// that it had lost before: longer than it turns single processes away, which cannot write
+	// theirs again meanwhile.
+	lostEntriesPeriod = 12 * time.Second
 	// maxAnswerGap is the time between two answers of the store above which it counts as
 	// unavailable in between: longer than the interval between calls.
 	maxAnswerGap = 2500 * time.Millisecond
@@ -100,10 +104,10 @@
 	// ChangeCount counts the changes of members, of their processes and of their states.
 	ChangeCount uint64
 	loaded      bool
-	// lastRead is when the store's records were last read, lastAnswer when the store last
+	// firstRead is when the store's records were first read, lastRead when they were last, lastAnswer when the store last
 	// answered, and readableSince when its present series of answers without an outage
 	// began.
-	lastRead, lastAnswer, readableSince instant.Instant
+	firstRead, lastRead, lastAnswer, readableSince instant.Instant
 	// settledAt is when all live members will have had time to write their store
 	// records, 0 until that is known.
 	settledAt instant.Instant
@@ -125,6 +129,12 @@
 // the others, or all live members have had time to write theirs.
 func (t *Table) IsSettled(now instant.Instant) bool { return t.loaded && now >= t.settledAt }
 
+// KnowsAllServices reports whether a service without members has none: a process learns of the
+// agents of a service that it does not belong to from the store alone.
+func (t *Table) KnowsAllServices(now instant.Instant) bool {
+	return t.IsSettled(now) && now.Sub(t.firstRead) >= lostEntriesPeriod
+}
+
 // MarkSettled marks the table as settled once the store has been read. It is called if
 // the store still held the record of an earlier process of this instance and has not been
 // restored from a copy since.
@@ -184,6 +194,9 @@
 		t.settledAt = now.Add(SettleAfter)
 	}
 	t.RecordStoreAnswer(now)
+	if !t.loaded {
+		t.firstRead = now
+	}
 	t.loaded, t.lastRead = true, now
 	wasInStore := make(map[*Member]bool, len(t.members))
 	for _, m := range t.members {
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -47,6 +47,8 @@
 	earlyReadPeriod   = time.Second
 	readIntervalMin   = 1800 * time.Millisecond
 	readIntervalMax   = 9 * time.Second
+	// minReadGap is the least time between two reads that are requested.
+	minReadGap = 500 * time.Millisecond
 	// startupRetryMin is the first retry delay until a read has succeeded, retryMin the
 	// first one afterwards. Each further failure doubles the delay, up to
 	// startupRetryMax or retryMax.
@@ -88,13 +90,18 @@
 	cancel        context.CancelFunc
 	done          chan struct{}
 	writeRequests chan struct{}
+	readRequests  chan struct{}
+	// readRequestedAt is when ReadSoon last requested a read.
+	readRequestedAt time.Time
 
 	lease store.LeaseID
 	// readInterval is the interval until the next read. listed holds the entries of the
 	// last one.
 	readInterval   time.Duration
 	earlyReadUntil time.Time
-	listed         map[store.Key]store.Revision
+	// freshRead is set if the next read must not be stale.
+	freshRead bool
+	listed    map[store.Key]store.Revision
 	// leaseEra is the store's era in which the process was granted the lease or found its
 	// entry under it.
 	leaseEra     store.Era
@@ -121,7 +128,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Registry{
 		Config: cfg, Logger: logger, store: st, ownKey: Prefix + store.Key(cfg.Self.String()), cancel: cancel,
-		done: make(chan struct{}), writeRequests: make(chan struct{}, 1), writePending: true, oddEntries: make(map[store.Key]store.Revision),
+		done: make(chan struct{}), writeRequests: make(chan struct{}, 1), readRequests: make(chan struct{}, 1), writePending: true, oddEntries: make(map[store.Key]store.Revision),
 	}
 	go func() {
 		defer close(r.done)
@@ -142,6 +149,19 @@
 	}
 }
 
+// ReadSoon requests a read of the entries, at most one every minReadGap. It is not safe for
+// concurrent use.
+func (r *Registry) ReadSoon() {
+	if time.Since(r.readRequestedAt) < minReadGap {
+		return
+	}
+	r.readRequestedAt = time.Now()
+	select {
+	case r.readRequests <- struct{}{}:
+	default:
+	}
+}
+
 // Close stops the registry; the entry stays until its lease expires.
 func (r *Registry) Close() {
 	r.cancel()
@@ -182,9 +202,10 @@
 // reports to it.
 func (r *Registry) runOnce(ctx context.Context) error {
 	if !r.loaded || !time.Now().Before(r.nextRead) {
-		if err := r.readEntries(ctx, r.loaded && !r.restored); err != nil {
+		if err := r.readEntries(ctx, r.loaded && !r.restored && !r.freshRead); err != nil {
 			return err
 		}
+		r.freshRead = false
 	}
 	r.readCheckpoint(ctx)
 	if r.lease != 0 && !time.Now().Before(r.nextRenewal) {
@@ -223,6 +244,8 @@
 	case <-t.C:
 	case <-r.writeRequests:
 		r.writePending = true
+	case <-r.readRequests:
+		r.nextRead, r.freshRead = time.Time{}, true
 	}
 }
 
--- a/internal/relay/serving/search.go
+++ b/internal/relay/serving/search.go
@@ -158,6 +158,7 @@
 			home = second
 		}
 		if !ok {
+			c.noteUnknownService(now)
 			continue
 		}
 		s.AddElsewhere(service)
@@ -255,10 +256,11 @@
 		}
 	}
 	c.owners.DeleteSearch(id)
-	if c.searchNextService(now, id, s) {
+	handedOn, complete := c.searchNextService(now, id, s)
+	if handedOn {
 		return
 	}
-	if s.LastPacket.GetOthersIncomplete() {
+	if !complete {
 		c.LogNotable("OwnerNotFound", "Flow", id, "Reason", "ServicesUnknown", "Denials", s.Denials())
 		return
 	}
@@ -270,9 +272,10 @@
 	c.owners.Searches(func(id flow.ID, s *lookup.Search) { c.finishIfDenied(now, id, s) })
 }
 
-// searchNextService passes a search to the next service that may hold the flow and
-// reports whether there is one.
-func (c *Core) searchNextService(now instant.Instant, id flow.ID, s *lookup.Search) bool {
+// searchNextService passes a search to the next service that may hold the flow and reports whether
+// there is one. complete is false if another service may hold the flow that could not be asked.
+func (c *Core) searchNextService(now instant.Instant, id flow.ID, s *lookup.Search) (handedOn, complete bool) {
+	complete = !s.LastPacket.GetOthersIncomplete()
 	named, unnamed := s.LastPacket.GetOthers(), s.LastPacket.GetUnnamed()
 	for len(named)+len(unnamed) > 0 {
 		var service string
@@ -284,6 +287,7 @@
 		}
 		home, ok := c.Members.Home(now, service, s.LastPacket.DataCentre, id.Hash())
 		if !ok {
+			complete = complete && !c.noteUnknownService(now)
 			continue
 		}
 		c.LogNotable("SearchHandedOn", "Flow", id, "Service", service, "Named", !knownOnly, "Home", home, "Denials", s.Denials())
@@ -291,10 +295,28 @@
 			c.sendPacket(now, home, &message.Carried{
 				Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre,
 				TimeoutMillis: m.TimeoutMillis, Others: named, Unnamed: unnamed,
-				OthersIncomplete: s.LastPacket.OthersIncomplete, KnownOnly: knownOnly,
+				OthersIncomplete: !complete, KnownOnly: knownOnly,
 			}, message.Step_StepHome)
 		}
-		return true
+		return true, complete
 	}
-	return false
+	return false, complete
+}
+
+// noteUnknownService records that a service of a route has no known agent, and reports whether it
+// may have some.
+func (c *Core) noteUnknownService(now instant.Instant) bool {
+	if c.Members.KnowsAllServices(now) {
+		return false
+	}
+	c.membersWanted = true
+	return true
+}
+
+// TakeMembersWanted reports whether the members should be read from the store at once, since a
+// search lacks those of a service.
+func (c *Core) TakeMembersWanted() bool {
+	wanted := c.membersWanted
+	c.membersWanted = false
+	return wanted
 }
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -324,6 +324,8 @@
 	handledChanges uint64
 	// loggedSpeed is the relative speed of the upstream when it was last logged.
 	loggedSpeed float64
+	// membersWanted is set if the members should be read from the store at once.
+	membersWanted bool
 	// homesChanged is set if flows may have new homes that have not received a claim.
 	homesChanged bool
 }
