Count the services of a route as known only when lost entries are back

Callers could see open flows of a former service reset by a search that never asked it: a balancer that had just started, with its own entry still in the store, took the services in its table for all that there are before it had read the history of the routes.

Change: without the history of a route, a balancer counts its services as known 12 s after the first read of the members, as agents do.

TestServicesAreIncompleteUntilMembersAreRead expected the services to be known 2 s after the first read; it now asks that they are not, and are after 12 s.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -288,7 +288,7 @@
 	case !c.Members.IsLoaded():
 		return false
 	}
-	return c.history.services[r.Address] != nil || listsAll && c.Members.IsSettled(now)
+	return c.history.services[r.Address] != nil || listsAll && c.Members.KnowsAllServices(now)
 }
 
 // handleNoAgent handles a packet to a service without known agents. It resets a new
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -213,6 +213,8 @@
 	c.ApplyHistory(now, nil)
 	now = now.Add(membership.SettleAfter)
 	c.ApplyStored(now, []*message.Record{named, former})
+	qt.Check(t, sent().GetOthersIncomplete(), qt.IsTrue, qt.Commentf("agents may be turned away that have to write lost entries again"))
+	now = now.Add(10 * time.Second)
 	m := sent()
 	qt.Check(t, m.GetOthersIncomplete(), qt.IsFalse)
 	qt.Check(t, m.GetUnnamed(), qt.DeepEquals, []string{"recuento"})
--- a/internal/standin/relay/formerservice_test.go
+++ b/internal/standin/relay/formerservice_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/routes"
 )
 
@@ -100,3 +101,43 @@
 	qt.Assert(t, all > 500, qt.IsTrue)
 	qt.Assert(t, late*100 < all, qt.IsTrue, qt.Commentf("%d of %d late", late, all))
 }
+
+// TestLostEntriesOfAFormerServiceEndNoFlow guards against the reset of open flows by agents that
+// start while the store lacks the entries of the service that holds the flows, and turns away the
+// agents that would write them again.
+func TestLostEntriesOfAFormerServiceEndNoFlow(t *testing.T) {
+	const (
+		moved      = 4 * time.Second
+		lost       = 6 * time.Second
+		turnedAway = 6 * time.Second
+		down       = 300 * time.Millisecond
+	)
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			cfg := Kitambaa(seed)
+			w := New(cfg)
+			former := cfg.Services[0].Name
+			isFormer := make(map[flow.IP]bool)
+			w.At(moved, func() { w.Configure(Address(0), routes.Share{Service: cfg.Services[1].Name, Weight: 1}) })
+			w.At(lost, func() {
+				for _, p := range w.Agents {
+					if p.service == former {
+						isFormer[p.IP] = true
+						delete(w.entries, p.IP)
+						continue
+					}
+					w.Restart(p, down)
+				}
+				for _, p := range w.Balancers {
+					w.Restart(p, down)
+				}
+			})
+			w.StoreRefuses = func(ip flow.IP) bool {
+				return isFormer[ip] && w.Now() < lost+turnedAway
+			}
+			w.Run(lost + turnedAway + 5*time.Second)
+			qt.Assert(t, w.Violations, qt.HasLen, 0)
+		})
+	}
+}
