Apply no checkpoint of an upstream that still holds its flows

Callers could see open flows reset after a planned restart of an agent: the first heartbeat that it heard was a late one with a later start, so that it took the upstream of its checkpoint for replaced, although that had answered on listed flows since.

Change: a checkpoint is dropped if the upstream has shown that it holds one of the flows listed.

Found by TestFlowsSurviveOtherWriters, new here: valid heartbeats, leaves, entries and reports of others beside planned work. What remains: a late first heartbeat before the upstream has sent a packet on any of the flows.

--- a/internal/relay/serving/checkpoint.go
+++ b/internal/relay/serving/checkpoint.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaytack/jaytack/internal/relay/flowtable"
@@ -48,6 +49,15 @@
 	c.applyCheckpoint()
 }
 
+// holdsFlowOf reports whether the upstream has shown that it holds a flow of a checkpoint, so that
+// it is the one that held the others too.
+func (c *Core) holdsFlowOf(cp *message.Checkpoint) bool {
+	return slices.ContainsFunc(cp.Flows, func(f *message.CheckpointFlow) bool {
+		known := c.flows.Get(f.GetFlow().ID())
+		return known != nil && known.IsHeld()
+	})
+}
+
 // applyCheckpoint resets the flows of the earlier process's checkpoint if their upstream
 // has been replaced, and drops it if the upstream still runs.
 func (c *Core) applyCheckpoint() {
@@ -56,7 +66,7 @@
 		return
 	}
 	c.checkpoint = nil
-	if c.upstream.Born <= cp.UpstreamBorn {
+	if c.upstream.Born <= cp.UpstreamBorn || c.holdsFlowOf(cp) {
 		return
 	}
 	c.LogStateChange("CheckpointApplied", "Born", c.upstream.Born, "BornBefore", cp.UpstreamBorn, "Flows", len(cp.Flows))
--- a/internal/standin/relay/otherwriters_test.go
+++ b/internal/standin/relay/otherwriters_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jaytack/jaytack/internal/relay/flow"
+	"github.com/jaytack/jaytack/internal/relay/message"
 	"github.com/jaytack/jaytack/internal/relay/serving"
 )
 
@@ -82,3 +84,82 @@
 	qt.Check(t, w.Violations, qt.HasLen, 0)
 	qt.Check(t, u.SynsReceived > offered, qt.IsTrue)
 }
+
+// otherWriters lists the messages and entries that other writers or earlier processes may have
+// sent, each valid in itself.
+var otherWriters = []randomFault{
+	{"OtherHeartbeats", func(w *randomRun, at time.Duration) {
+		w.changeUpstreams(func(u *Upstream) {
+			startedLaterBy, sequence, draining, sameName := w.between(-5*time.Second, 5*time.Second), 1+w.r.Int64N(100), w.r.IntN(4) == 0, w.r.IntN(3) == 0
+			for i := range 1 + w.r.IntN(3) {
+				w.At(at+time.Duration(i)*w.between(0, 400*time.Millisecond), func() {
+					h := u.otherHeartbeat(startedLaterBy)
+					h.Sequence, h.Draining = sequence+int64(i), draining
+					if sameName {
+						h.Upstream = u.name()
+					}
+					u.sendHeartbeat(h)
+				})
+			}
+		})
+	}},
+	{"OtherLeaves", func(w *randomRun, at time.Duration) {
+		w.changeUpstreams(func(u *Upstream) {
+			w.At(at, func() {
+				w.dispatch(u.p, func() {
+					if u.p.Agent != nil {
+						u.p.Agent.HandleLeave(w.now, u.name())
+					}
+				})
+			})
+		})
+	}},
+	{"OtherEntries", func(w *randomRun, at time.Duration) {
+		// The processes put their own entries in place again.
+		replaced := w.between(200*time.Millisecond, 9*time.Second)
+		w.changeUpstreams(func(u *Upstream) {
+			state, ahead := message.State(w.r.IntN(len(message.State_name))), uint64(w.r.IntN(1000))
+			w.At(at, func() {
+				before := w.entries[u.p.IP]
+				if before == nil || !u.p.Running() {
+					return
+				}
+				odd := w.record(u.p)
+				odd.State, odd.Incarnation = state, before.record.Incarnation+ahead
+				w.entries[u.p.IP] = &entry{odd, w.now.Add(entryTTL)}
+				w.after(replaced, func() { delete(w.entries, u.p.IP) })
+			})
+		})
+	}},
+	{"LateReports", func(w *randomRun, at time.Duration) {
+		w.changeUpstreams(func(u *Upstream) {
+			w.At(at, func() {
+				if u.p.Agent == nil {
+					return
+				}
+				late := w.record(u.p)
+				late.Incarnation, late.State = late.Incarnation-1, message.State_StateGone
+				for _, to := range slices.Concat(w.Agents, w.Balancers) {
+					w.sendMessage(u.p.IP, to.IP, &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{Record: late}}})
+				}
+			})
+		})
+	}},
+}
+
+// otherWritersSeeds are the seeds that have failed.
+var otherWritersSeeds = map[uint64]string{
+	1063: "a checkpoint was applied after a late first heartbeat, although its upstream still ran",
+}
+
+// TestFlowsSurviveOtherWriters resets no open flow while others write beside planned work.
+func TestFlowsSurviveOtherWriters(t *testing.T) {
+	for _, seed := range testSeeds(t, otherWritersSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w, faults := newRandomRunOf(Registro(seed), slices.Concat(plannedFaults(), otherWriters, otherWriters))
+			w.Run(randomRunEnd)
+			qt.Check(t, w.Violations, qt.HasLen, 0, qt.Commentf("faults %v", faults))
+		})
+	}
+}
