--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -5,9 +5,9 @@
 // flow and looks up the owner of an open one; see package lookup.
 //
 // The agent resets a flow only if the flow is known to be lost: the upstream bounced
-// a packet of a flow that was open there, the upstream left or was replaced, or all agents
-// of the services that may hold the flow denied it. When a new upstream replaces another, the
-// packets of requests in progress are redelivered, and the flows whose packets bounce
+// a packet of a flow that was open there, the upstream left and refuses connections, or all
+// agents of the services that may hold the flow denied it. When a new upstream replaces
+// another, the last packets of open flows are redelivered, and the flows whose packets bounce
 // are reset. New flows that no upstream can accept are reset as well, unless they may
 // be open elsewhere. In all other cases the agent sends nothing, and the caller's next
 // packet repeats the lookup.
