--- a/internal/relay/agent/agent.go
+++ b/internal/relay/agent/agent.go
@@ -215,12 +215,12 @@
 			return
 		default:
 		}
-		a.checkOnce()
+		a.checkListeningOnce()
 	}
 }
 
-// checkOnce connects to the upstream if the core needs to know whether it listens.
-func (a *Agent) checkOnce() {
+// checkListeningOnce connects to the upstream if the core needs to know whether it listens.
+func (a *Agent) checkListeningOnce() {
 	a.mu.Lock()
 	needed := a.core.NeedsListenCheck()
 	a.mu.Unlock()
@@ -279,7 +279,7 @@
 // requests in progress for drainDelay unless the upstream is gone.
 func (a *Agent) Drain() {
 	// An upstream that has just left must not seem to go on running.
-	a.checkOnce()
+	a.checkListeningOnce()
 	restarting := false
 	a.update(func(c *serving.Core) {
 		c.Stop(a.Now())
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -104,9 +104,9 @@
 	// ChangeCount counts the changes of members, of their processes and of their states.
 	ChangeCount uint64
 	loaded      bool
-	// firstRead is when the store's records were first read, lastRead when they were last, lastAnswer when the store last
-	// answered, and readableSince when its present series of answers without an outage
-	// began.
+	// firstRead and lastRead are when the store's records were first and last read, lastAnswer is
+	// when the store last answered, and readableSince when its present series of answers without
+	// an outage began.
 	firstRead, lastRead, lastAnswer, readableSince instant.Instant
 	// settledAt is when all live members will have had time to write their store
 	// records, 0 until that is known.
--- a/internal/relay/registry/entry.go
+++ b/internal/relay/registry/entry.go
@@ -11,6 +11,10 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
 
+// maxAhead is how far an incarnation may be ahead of the time of day: clocks that were ahead and
+// restarts add to it. The next process of the instance must still be able to exceed it.
+const maxAhead = 366 * 24 * time.Hour
+
 // recordListed remembers the entries of a read and reports whether any has been added or
 // is missing since the last one.
 func (r *Registry) recordListed(kvs []store.KV) (changed bool) {
@@ -24,10 +28,6 @@
 	return changed
 }
 
-// maxAhead is how far an incarnation may be ahead of the time of day: clocks that were ahead and
-// restarts add to it. The next process of the instance must still be able to exceed it.
-const maxAhead = 366 * 24 * time.Hour
-
 // decodeEntry returns the record of an entry. Another writer may have left the entry, so that
 // it may hold anything; every process writes its own under a lease.
 func decodeEntry(kv store.KV) (*message.Record, error) {
--- a/internal/relay/serving/incarnation.go
+++ b/internal/relay/serving/incarnation.go
@@ -43,10 +43,10 @@
 // isCurrent reports whether a heartbeat was sent by the upstream that runs now. A single
 // heartbeat of another incarnation shows neither that it still runs nor that the known one has
 // ended: it may have been under way while its sender crashed and the known one started. Neither
-// does a high sequence show that later lower ones are late. So an incarnation that two heartbeats have confirmed is replaced only once there is a sign that it
-// has ended. Without one for certain, and whenever the start times say otherwise, the other has
-// to go on sending heartbeats while the known one sends none: a late heartbeat is not followed
-// by others, and only one upstream runs beside the agent.
+// does a high sequence show that later lower ones are late. So an incarnation that two
+// heartbeats have confirmed is replaced only once there is a sign that it has ended. One that
+// did not start later also has to go on sending heartbeats while the known one sends none: a
+// late heartbeat is not followed by others, and only one upstream runs beside the agent.
 func (c *Core) isCurrent(now instant.Instant, h Heartbeat) bool {
 	u := &c.upstream
 	i := h.incarnation()
