--- a/internal/relay/serving/upstream.go
+++ b/internal/relay/serving/upstream.go
@@ -11,6 +11,57 @@
 	"github.com/jaytack/jaytack/internal/relay/message"
 )
 
+// upstreamState tracks the agent's own upstream.
+type upstreamState struct {
+	Heartbeat
+	hasHeartbeat bool
+	// isConfirmed is set once two heartbeats of the known incarnation have come.
+	isConfirmed bool
+	// predecessors holds the incarnations that were replaced, the latest last. candidate is
+	// one that may replace the known one, empty if there is none.
+	predecessors []incarnation
+	candidate    candidate
+	// lostFlowAt is when the known incarnation was last found not to hold a flow that had been
+	// open at it. flowsCheckedAt is when it was last checked which flows the upstream holds.
+	lostFlowAt, flowsCheckedAt instant.Instant
+	// lastHeard is when the upstream last sent a packet or a heartbeat; lastHeartbeat
+	// is when it last sent a heartbeat.
+	lastHeard, lastHeartbeat instant.Instant
+	// openingPendingSince and dataPendingSince are when the earliest first packet and the
+	// earliest data after lastHeard were delivered, valid if openingPending and
+	// dataPending are set.
+	openingPendingSince, dataPendingSince instant.Instant
+	openingPending, dataPending           bool
+	coldUntil                             instant.Instant
+	// mayHaveRestarted is set from a sign that the upstream was away, after awaySince, until its
+	// next heartbeat, which tells whether it is cold, or a packet on a flow that it accepted
+	// before awaySince. awayNoticedAt is when the last sign was seen.
+	mayHaveRestarted         bool
+	awaySince, awayNoticedAt instant.Instant
+	// startedLater is set if the upstream certainly started after this process.
+	startedLater bool
+	// leaveNoticedAt is when the upstream said that it is leaving, 0 if it has not since its last
+	// heartbeat. hasLeft is set once it has refused connections since.
+	leaveNoticedAt instant.Instant
+	hasLeft        bool
+	// leftBefore is set if the store says that it left during the previous process. Another
+	// one may have started since.
+	leftBefore bool
+	// absent is set if the upstream has sent nothing since the process started, and
+	// either it refuses connections or heartbeats are overdue; it then holds no flows.
+	// listenTime is how long the process had listened at the last tick, heartbeatListenTime at
+	// the last heartbeat.
+	absent                          bool
+	listenTime, heartbeatListenTime time.Duration
+	// refusedSince is when the upstream was first seen to refuse connections, 0 if it does
+	// not.
+	refusedSince instant.Instant
+	// bouncesOpening is set while first packets bounce: the upstream is down or full.
+	bouncesOpening bool
+	// resetFlowsAt is when the flows of an upstream that has left are reset, 0 for never.
+	resetFlowsAt instant.Instant
+}
+
 // expectResponse records that a response of the upstream is pending from now on, unless
 // one already was.
 func (c *Core) expectResponse(now instant.Instant, since *instant.Instant, pending *bool) {
