--- a/review/fleet3/fleet.go
+++ b/review/fleet3/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -41,9 +42,13 @@
 type node struct {
 	name, role, zone, service string
 	ip                        netip.Addr
-	log                       *os.File
-	cmd                       *exec.Cmd
-	exited                    chan struct{}
+	// readAt is when the daemon last read the list of its peers from the store.
+	readMu sync.Mutex
+	readAt time.Time
+
+	log    *os.File
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 func (n *node) addr(port uint16) netip.AddrPort { return netip.AddrPortFrom(n.ip, port) }
@@ -80,16 +85,10 @@
 		rec: rec, network: network, release: release, dir: dir, daemon: daemon, store: platformtest.New(),
 		ready: make(map[*node]bool), misses: make(map[*node]int), closed: make(chan struct{}),
 	}
-	srv := &http.Server{Addr: f.storeAddr().String(), Handler: f.store, ReadHeaderTimeout: time.Second}
-	go func() { _ = srv.ListenAndServe() }()
 	go f.pollReadiness()
 	return f, nil
 }
 
-func (f *fleet) storeAddr() netip.AddrPort {
-	return netip.AddrPortFrom(f.network.Addr(200, 1), portStore)
-}
-
 // serviceAddress returns the address of the i-th route.
 func (f *fleet) serviceAddress(i int) endpoint {
 	return endpointOf(netip.AddrPortFrom(f.network.Addr(210, byte(i+1)), 8443))
@@ -108,7 +107,7 @@
 			"timeout_ms": 2500, "aim_ms": 150, "priority": 1, "service": s, "max_attempts": 2,
 		})
 	}
-	b, _ := json.Marshal(map[string]any{"version": f.version, "routes": routes, "services": []any{}, "limits": map[string]any{"idle_timeout_ms": 30000}})
+	b, _ := json.Marshal(map[string]any{"version": f.version, "routes": routes, "services": []any{}, "limits": map[string]any{"idle_timeout_ms": 15000}})
 	f.store.Put("op/config", b)
 	f.rec.printf("configuration %d: %v", f.version, services)
 }
@@ -120,10 +119,35 @@
 		third += 50
 	}
 	n := &node{name: fmt.Sprintf("%s-%d-%d", role, zone, number), role: role, zone: fmt.Sprintf("zone-%d", zone), service: service, ip: f.network.Addr(third, byte(number+1))}
+	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	f.serveStore(n)
 	return n
 }
 
+// serveStore serves the store to one machine, and notes when its daemon reads the list of its
+// peers.
+func (f *fleet) serveStore(n *node) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.store.ServeHTTP(w, r)
+		if r.URL.Path == "/api/kv-range" {
+			n.readMu.Lock()
+			n.readAt = time.Now()
+			n.readMu.Unlock()
+		}
+	})
+	srv := &http.Server{Addr: n.addr(portStore).String(), Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.ListenAndServe() }()
+}
+
+// lastRead returns when the daemon last read the list of its peers.
+func (n *node) lastRead() time.Time {
+	n.readMu.Lock()
+	defer n.readMu.Unlock()
+	return n.readAt
+}
+
 func (f *fleet) settings(n *node) []byte {
 	listen := map[string]any{"datagram_addr": n.addr(portDatagrams).String(), "ready": n.addr(portReady).String()}
 	s := map[string]any{
@@ -138,7 +162,7 @@
 		},
 		"hash": "mod", "deploy_mode": "agent",
 		"platform": map[string]any{
-			"address": f.storeAddr().String(), "deploy_mode": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
+			"address": n.addr(portStore).String(), "deploy_mode": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
 		},
 	}
 	if n.role == "agent" {
@@ -219,7 +243,10 @@
 			return
 		case <-time.After(500 * time.Millisecond):
 		}
-		for _, n := range f.nodes {
+		f.mu.Lock()
+		nodes := slices.Clone(f.nodes)
+		f.mu.Unlock()
+		for _, n := range nodes {
 			if n.role != "balancer" {
 				continue
 			}
--- a/review/fleet3/main.go
+++ b/review/fleet3/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(f *fleet, trouble bool) error{
 	"lateheartbeat": lateHeartbeat,
 	"latelabel":     lateLabel,
+	"gonehome":      goneHome,
 }
 
 func run(name, path, daemon string) int {
--- a/review/fleet3/record.go
+++ b/review/fleet3/record.go
@@ -17,10 +17,41 @@
 	runs       map[string][]string
 	answers    map[string]string
 	requests   []string
+	arrivals   map[flowID][]arrival
+}
+
+// arrival is a packet, not one that opens a flow, that has reached a target.
+type arrival struct {
+	at     time.Time
+	target string
+}
+
+// arrived records that a packet of a flow has reached a target.
+func (r *record) arrived(id flowID, target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals[id] = append(r.arrivals[id], arrival{time.Now(), target})
+}
+
+// astray returns how many packets of a flow have reached targets other than its own between two
+// times, and how many its own.
+func (r *record) astray(id flowID, own string, from, to time.Time) (atOthers, atOwn int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.arrivals[id] {
+		switch {
+		case a.at.Before(from) || a.at.After(to):
+		case a.target == own:
+			atOwn++
+		default:
+			atOthers++
+		}
+	}
+	return atOthers, atOwn
 }
 
 func newRecord() *record {
-	return &record{start: time.Now(), runs: make(map[string][]string), answers: make(map[string]string)}
+	return &record{start: time.Now(), runs: make(map[string][]string), answers: make(map[string]string), arrivals: make(map[flowID][]arrival)}
 }
 
 func (r *record) add(format string, args ...any) {
--- a/review/fleet3/target.go
+++ b/review/fleet3/target.go
@@ -152,6 +152,30 @@
 	t.rec.printf("target %s crashes", t.id)
 }
 
+// drain reports that the target is draining, serves for some time after the acknowledgement,
+// says that it leaves and ends. It reports whether the agent acknowledged.
+func (t *target) drain(serveFor time.Duration) bool {
+	t.mu.Lock()
+	t.draining = true
+	acked := t.acked
+	t.mu.Unlock()
+	t.sendHeartbeat()
+	if t.acknowledged() == acked {
+		return false
+	}
+	t.rec.printf("target %s is draining, acknowledged", t.id)
+	time.Sleep(serveFor)
+	post(t.node.addr(portControl), "/api/Instances.Leave/"+t.id, []byte("{}"))
+	t.mu.Lock()
+	t.crashed, t.flows = true, nil
+	t.mu.Unlock()
+	close(t.done)
+	_ = t.conn.Close()
+	_ = t.tcp.Close()
+	t.rec.printf("target %s has left", t.id)
+	return true
+}
+
 // holds reports whether the target holds an open flow.
 func (t *target) holds(id flowID) bool {
 	t.mu.Lock()
@@ -184,6 +208,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	id := flowID{p.src, p.dst}
+	if p.flags&flagSyn == 0 {
+		t.rec.arrived(id, t.id)
+	}
 	reply := packet{src: id.address, dst: id.client, flags: flagAck, ack: p.seq + uint32(len(p.data))}
 	f := t.flows[id]
 	switch {
