Review case 12: an odd entry hides an agent from a restarted one

A restarted agent that finds its own entry takes its table for complete. An agent whose entry names another service is missing among those that it asks for a flow, and it ignores what the others say of such a member, so that it resets flows that are open there.

--- a/review/fleet3/gonehome.go
+++ b/review/fleet3/gonehome.go
@@ -48,7 +48,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	leaving, reader, front := recuento[2], padron[5], balancers[5]
-	flows, err := f.openFlows(80, targets, leaving)
+	flows, err := f.openFlows(80, 1, targets, leaving)
 	if err != nil {
 		return err
 	}
@@ -94,17 +94,29 @@
 	return count
 }
 
-// openFlows opens flows from zone-2 and returns those that are open at targets other than that
-// of one machine. Each has an answered request.
-func (f *fleet) openFlows(n int, targets map[*node]*target, except *node) ([]openFlow, error) {
+// openFlows opens flows from zone-2, several at a time, and returns those that are open at targets
+// other than that of one machine. Each has an answered request.
+func (f *fleet) openFlows(n, parallel int, targets map[*node]*target, except *node) ([]openFlow, error) {
 	c, err := startClient(f.rec, f.network.Addr(220, 1), f.route("zone-2"))
 	if err != nil {
 		return nil, err
 	}
+	opened := make(chan *clientFlow, n)
+	for range parallel {
+		go func() {
+			for range n / parallel {
+				fl := c.openFlow(f.serviceAddress(0))
+				if fl != nil && fl.request() != "ok" {
+					fl = nil
+				}
+				opened <- fl
+			}
+		}()
+	}
 	var flows []openFlow
-	for range n {
-		fl := c.openFlow(f.serviceAddress(0))
-		if fl == nil || fl.request() != "ok" {
+	for range n / parallel * parallel {
+		fl := <-opened
+		if fl == nil {
 			return nil, errors.New("a flow did not open")
 		}
 		for n, t := range targets {
--- a/review/fleet3/main.go
+++ b/review/fleet3/main.go
@@ -31,6 +31,7 @@
 	"lateheartbeat": lateHeartbeat,
 	"latelabel":     lateLabel,
 	"gonehome":      goneHome,
+	"oddservice":    oddService,
 }
 
 func run(name, path, daemon string) int {
