Review case 14: an agent restarted before the first heartbeat

An upstream whose clock was ahead when it started seems to be later than the process that its first heartbeat meets, if the agent has been restarted before that heartbeat. The agent then takes its table for complete and denies flows that were opened before.

--- a/review/fleet3/main.go
+++ b/review/fleet3/main.go
@@ -32,6 +32,7 @@
 	"latelabel":     lateLabel,
 	"gonehome":      goneHome,
 	"oddservice":    oddService,
+	"aheadstart":    aheadStart,
 }
 
 func run(name, path, daemon string) int {
