--- a/review/fleet3/fleet.go
+++ b/review/fleet3/fleet.go
@@ -107,8 +107,8 @@
 			"timeout_ms": 2500, "aim_ms": 150, "priority": 1, "service": s, "max_attempts": 2,
 		})
 	}
-	b, _ := json.Marshal(map[string]any{"version": f.version, "routes": routes, "services": []any{}, "limits": map[string]any{"idle_timeout_ms": 15000}})
-	f.store.Put("op/config", b)
+	b, _ := json.Marshal(map[string]any{"version": f.version, "routes": routes, "services": []any{}, "limits": map[string]any{names.IdleTimeout: 15000}})
+	f.store.Put(names.ConfigurationKey, b)
 	f.rec.printf("configuration %d: %v", f.version, services)
 }
 
@@ -131,7 +131,7 @@
 func (f *fleet) serveStore(n *node) {
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.store.ServeHTTP(w, r)
-		if r.URL.Path == "/api/kv-range" {
+		if r.URL.Path == names.ListPath {
 			n.readMu.Lock()
 			n.readAt = time.Now()
 			n.readMu.Unlock()
@@ -149,7 +149,7 @@
 }
 
 func (f *fleet) settings(n *node) []byte {
-	listen := map[string]any{"datagram_addr": n.addr(portDatagrams).String(), "ready": n.addr(portReady).String()}
+	listen := map[string]any{names.Datagrams: n.addr(portDatagrams).String(), "ready": n.addr(portReady).String()}
 	s := map[string]any{
 		"node_name": n.name, "role": n.role, "ip": n.ip.String(), "zone": n.zone, "region": "r",
 		"zones": map[string]string{"zone-0": "r", "zone-1": "r", "zone-2": "r"}, "listen_addrs": listen,
@@ -190,7 +190,7 @@
 		n.log = log
 	}
 	n.cmd = exec.Command(f.daemon, n.role, "--metrics-port=9464")
-	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "JAYTACK_BOOT=" + path}
+	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names.SettingsEnv + "=" + path}
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
 	// The daemon ends with this process, however that ends.
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/fleet3/lateheartbeat.go
+++ b/review/fleet3/lateheartbeat.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	if trouble {
-		for end := time.Now().Add(time.Second); !post(x.addr(portControl), "/api/Instances.Heartbeat/i-1", late); time.Sleep(5 * time.Millisecond) {
+		for end := time.Now().Add(time.Second); !post(x.addr(portControl), names.HeartbeatPath+"i-1", late); time.Sleep(5 * time.Millisecond) {
 			if time.Now().After(end) {
 				f.rec.printf("the late heartbeat was not acknowledged")
 				break
--- a/review/fleet3/latelabel.go
+++ b/review/fleet3/latelabel.go
@@ -72,7 +72,7 @@
 	}
 	at(2700 * time.Millisecond)
 	if trouble {
-		ok := post(x.addr(portControl), "/api/Instances.Heartbeat/i-1", late)
+		ok := post(x.addr(portControl), names.HeartbeatPath+"i-1", late)
 		f.rec.printf("late heartbeat of the crashed target i-1 arrives, acknowledged: %v", ok)
 	}
 	at(5200 * time.Millisecond)
--- a/review/fleet3/target.go
+++ b/review/fleet3/target.go
@@ -100,13 +100,13 @@
 	}
 	b, _ := json.Marshal(map[string]any{
 		"service": t.node.service, "address": t.node.addr(portApp).String(), "zone": t.node.zone, "version": "v1", "capacity": 4,
-		"state": state, "warmup_left_ms": 0, "sequence": t.sequence, "born": t.born,
+		"state": state, names.WarmUpLeft: 0, "sequence": t.sequence, "born": t.born,
 	})
 	return b
 }
 
 func (t *target) sendHeartbeat() {
-	ok := post(t.node.addr(portControl), "/api/Instances.Heartbeat/"+t.id, t.heartbeat())
+	ok := post(t.node.addr(portControl), names.HeartbeatPath+t.id, t.heartbeat())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ok {
@@ -165,7 +165,7 @@
 	}
 	t.rec.printf("target %s is draining, acknowledged", t.id)
 	time.Sleep(serveFor)
-	post(t.node.addr(portControl), "/api/Instances.Leave/"+t.id, []byte("{}"))
+	post(t.node.addr(portControl), names.LeavePath+t.id, []byte("{}"))
 	t.mu.Lock()
 	t.crashed, t.flows = true, nil
 	t.mu.Unlock()
