--- a/review/fleet3/lateheartbeat.go
+++ b/review/fleet3/lateheartbeat.go
@@ -21,11 +21,14 @@
 		}
 	}
 	var agents []*node
-	for zone := range 3 {
-		n := f.add("agent", zone, 0, "svc")
-		agents = append(agents, n)
-		if err := f.start(n); err != nil {
-			return err
+	// One target of seven crashes, as many as the site allows at once.
+	for zone, count := range []int{3, 2, 2} {
+		for i := range count {
+			n := f.add("agent", zone, i, "svc")
+			agents = append(agents, n)
+			if err := f.start(n); err != nil {
+				return err
+			}
 		}
 	}
 	time.Sleep(time.Second)
@@ -61,7 +64,7 @@
 		return err
 	}
 	var held []*clientFlow
-	for range 24 {
+	for range 48 {
 		fl := c.openFlow(f.serviceAddress(0))
 		if fl == nil {
 			return errors.New("a flow did not open")
--- a/review/fleet3/latelabel.go
+++ b/review/fleet3/latelabel.go
@@ -17,11 +17,14 @@
 		}
 	}
 	var agents []*node
-	for zone := range 3 {
-		n := f.add("agent", zone, 0, "svc")
-		agents = append(agents, n)
-		if err := f.start(n); err != nil {
-			return err
+	// One target of seven crashes, as many as the site allows at once.
+	for zone, count := range []int{3, 2, 2} {
+		for i := range count {
+			n := f.add("agent", zone, i, "svc")
+			agents = append(agents, n)
+			if err := f.start(n); err != nil {
+				return err
+			}
 		}
 	}
 	time.Sleep(time.Second)
@@ -59,10 +62,22 @@
 	if err != nil {
 		return err
 	}
+	const clients, flowsEach = 8, 6
+	opened := make(chan *clientFlow, clients*flowsEach)
+	for range clients {
+		go func() {
+			for range flowsEach {
+				fl := c.openFlow(f.serviceAddress(0))
+				if fl != nil && fl.request() != "ok" {
+					fl = nil
+				}
+				opened <- fl
+			}
+		}()
+	}
 	var held []*clientFlow
-	for range 12 {
-		fl := c.openFlow(f.serviceAddress(0))
-		if fl != nil && fl.request() == "ok" && second.holds(fl.id) {
+	for range clients * flowsEach {
+		if fl := <-opened; fl != nil && second.holds(fl.id) {
 			held = append(held, fl)
 		}
 	}
--- a/review/fleet3/oddservice.go
+++ b/review/fleet3/oddservice.go
@@ -75,8 +75,12 @@
 		return err
 	}
 	time.Sleep(time.Second)
-	const rounds = 4
+	const (
+		rounds = 4
+		gap    = 1300 * time.Millisecond
+	)
 	for round := range rounds {
+		next := time.Now().Add(gap)
 		if err := f.restart(home); err != nil {
 			return err
 		}
@@ -95,6 +99,7 @@
 			count[<-outcomes]++
 		}
 		f.rec.printf("outcomes after restart %d: %v", round+1, count)
+		time.Sleep(time.Until(next))
 	}
 	for _, fl := range flows {
 		if fl.resetCount() > 0 && fl.own.holds(fl.id) {
