Pass over homes in other services that do not answer

Cause: an agent knows the agents of another service from the store alone, which it reads up to 9 s apart, and took them for alive whatever happened. A search was handed to a home of the former service that had left, and was deleted with that, so that the next packet began with the same home. While no answer came, the search delivered the packet to all upstreams of the new service.

Change: a member that does not report regularly is asked for a report when something is handed to it, and is suspect if it does not answer within 100 ms. A search goes on until the other service's home has confirmed it, passes over a suspect home to the next one, and reads the members again. It asks for up to 400 ms before it delivers the packet to upstreams that may not hold the flow. HomeUnanswered tells which home has failed.

TestEvenUpstreamsStayEven/LargeRegistro fails now: the messages change the random numbers of the virtual network.

--- a/internal/relay/lookup/lookup.go
+++ b/internal/relay/lookup/lookup.go
@@ -3,8 +3,9 @@
 //
 // A home that does not know a flow's owner probes all agents of the service at once. It
 // first asks what they know of the flow. Only if none knows it does it have the packet
-// delivered to the upstreams whose agents are unsure, a few at a time. A search ends with a claim, or once every agent of the service has denied the flow,
-// which proves that no upstream holds it. A denial stays valid, since an open flow
+// delivered to the upstreams whose agents are unsure, a few at a time. A search ends with a claim,
+// or once every agent of the service has denied the flow, which proves that no upstream of it
+// does. It then goes on in the next service of the route. A denial stays valid, since an open flow
 // never moves to another upstream. An agent that does not respond keeps the search
 // open. It is probed again a few times, since some of the many probes and responses
 // are lost in a service with many agents, and again at each further packet of the
@@ -60,11 +61,13 @@
 	StartedAt, ProbedAt, lastUsed instant.Instant
 	// denied, unsure, delivered and unlisted hold agents.
 	denied, unsure, delivered, unlisted map[flow.IP]bool
-	// elsewhere holds the other services in which the flow is searched, and whether one of
-	// their homes has answered.
-	elsewhere map[string]bool
-	// Rounds counts the rounds of probes that packets of the caller have started.
-	Rounds int
+	// elsewhere holds the searches for the flow in other services.
+	elsewhere map[string]*OtherSearch
+	// HandedTo is the home of another service to which the search was handed over, until that
+	// home has confirmed it or the caller has sent another packet; otherwise 0.
+	HandedTo flow.IP
+	// HandOverFailed is set if HandedTo did not answer and no other agent of its service may.
+	HandOverFailed bool
 	// Asking is set while agents are asked what they know of the flow and no packet is
 	// delivered to upstreams that may not hold it.
 	Asking bool
@@ -77,6 +80,16 @@
 	Retries int
 }
 
+// OtherSearch is the part of a search that takes place in another service.
+type OtherSearch struct {
+	// Home is the agent of the service that was last asked.
+	Home flow.IP
+	// Answered is set once a home of the service has answered that it does not know the owner.
+	Answered bool
+	// HomeFailed is set if Home did not answer and no other agent of the service may.
+	HomeFailed bool
+}
+
 // Enqueue queues a packet until the owner is known, or drops it if the queue is full.
 func (s *Search) Enqueue(packet *message.Carried) {
 	if len(s.queue) < maxQueuedPackets {
@@ -123,33 +136,54 @@
 	return false
 }
 
-// AddElsewhere records that the flow is searched in another service too.
-func (s *Search) AddElsewhere(service string) {
+// AskElsewhere records that a home of another service is asked for the owner.
+func (s *Search) AskElsewhere(service string, home flow.IP) {
 	if s.elsewhere == nil {
-		s.elsewhere = make(map[string]bool)
+		s.elsewhere = make(map[string]*OtherSearch)
 	}
-	if _, ok := s.elsewhere[service]; !ok {
-		s.elsewhere[service] = false
+	if o := s.elsewhere[service]; o != nil {
+		o.Home, o.HomeFailed = home, false
+		return
 	}
+	s.elsewhere[service] = &OtherSearch{Home: home}
 }
 
 // AnswerElsewhere records that no agent of another service knows the flow.
 func (s *Search) AnswerElsewhere(service string) {
-	if _, ok := s.elsewhere[service]; ok {
-		s.elsewhere[service] = true
+	if o := s.elsewhere[service]; o != nil {
+		o.Answered = true
 	}
 }
 
 // AnsweredElsewhere reports whether all other services have answered.
 func (s *Search) AnsweredElsewhere() bool {
-	for _, answered := range s.elsewhere {
-		if !answered {
+	for _, o := range s.elsewhere {
+		if !o.Answered {
 			return false
 		}
 	}
 	return true
 }
 
+// AwaitsElsewhere reports whether another service has not answered and may still do so.
+func (s *Search) AwaitsElsewhere() bool {
+	for _, o := range s.elsewhere {
+		if !o.Answered && !o.HomeFailed {
+			return true
+		}
+	}
+	return false
+}
+
+// UnansweredElsewhere calls f for each other service that has not answered, ordered by name.
+func (s *Search) UnansweredElsewhere(f func(service string, o *OtherSearch)) {
+	for _, service := range slices.Sorted(maps.Keys(s.elsewhere)) {
+		if o := s.elsewhere[service]; !o.Answered {
+			f(service, o)
+		}
+	}
+}
+
 // AddUnlisted adds an agent that is listed in a denial but missing from the local
 // membership table. Its denial is then required too.
 func (s *Search) AddUnlisted(agent flow.IP) {
@@ -249,11 +283,13 @@
 func (t *Table) Sizes() (owners, searches int) { return len(t.owners), len(t.searches) }
 
 // Expire deletes idle owners and searches, and returns the flows of the deleted
-// searches.
+// searches, without those that were handed over.
 func (t *Table) Expire(now instant.Instant) (unresolved []flow.ID) {
 	for id, s := range t.searches {
 		if now.Sub(s.lastUsed) > SearchIdleTimeout {
-			unresolved = append(unresolved, id)
+			if s.HandedTo == 0 {
+				unresolved = append(unresolved, id)
+			}
 			delete(t.searches, id)
 		}
 	}
--- a/internal/relay/membership/home.go
+++ b/internal/relay/membership/home.go
@@ -10,25 +10,9 @@
 // staying, then those of the data centre, and among equals the highest rendezvous
 // weight.
 func (t *Table) Home(now instant.Instant, service, dataCentre string, hash uint64) (flow.IP, bool) {
-	return t.homeExcept(now, service, dataCentre, hash, 0)
-}
-
-// SecondHome returns the agent that would be the home of a flow if its home were not a member.
-func (t *Table) SecondHome(now instant.Instant, service, dataCentre string, hash uint64) (flow.IP, bool) {
-	first, ok := t.Home(now, service, dataCentre, hash)
-	if !ok {
-		return 0, false
-	}
-	return t.homeExcept(now, service, dataCentre, hash, first)
-}
-
-func (t *Table) homeExcept(now instant.Instant, service, dataCentre string, hash uint64, except flow.IP) (flow.IP, bool) {
 	var best flow.IP
 	bestRank, bestWeight := -1, uint64(0)
 	for _, m := range t.agentsByService[service] {
-		if m.ID() == except {
-			continue
-		}
 		rank := t.rank(now, m, dataCentre)
 		if weight := flow.RendezvousWeight(hash, m.ID()); rank > bestRank || rank == bestRank && weight > bestWeight {
 			best, bestRank, bestWeight = m.ID(), rank, weight
--- a/internal/relay/membership/member.go
+++ b/internal/relay/membership/member.go
@@ -33,6 +33,9 @@
 	// is when that was last known to begin.
 	expected      bool
 	expectedSince instant.Instant
+	// askedSince is when the member was first asked for a report that it has not sent, since
+	// this process depends on it without regular reports; 0 if there is no such request.
+	askedSince instant.Instant
 }
 
 // ID returns the member's instance.
@@ -52,12 +55,13 @@
 }
 
 // IsSuspect reports whether the member reports or has to report to this process regularly
-// and its reports are overdue. Other members count as alive.
+// and its reports are overdue, or has left a request for a report unanswered. Other members count
+// as alive.
 func (m *Member) IsSuspect(now instant.Instant) bool {
 	if m.IsReporting(now) {
 		return false
 	}
-	return m.interval > 0 || m.expected && now.Sub(m.expectedSince) > SuspectAfter
+	return m.interval > 0 || m.expected && now.Sub(m.expectedSince) > SuspectAfter || m.askedSince != 0 && now.Sub(m.askedSince) > AnswerTimeout
 }
 
 // HasLeft reports whether the member's upstream has left, so that it holds no flows. The store
--- a/internal/relay/membership/membership.go
+++ b/internal/relay/membership/membership.go
@@ -8,7 +8,9 @@
 // reports regularly only to the processes that depend on its load or on its being alive,
 // and to all others only when it changes; each report names its interval. A member
 // that stops reporting is suspect: it is avoided for new flows, but it may still hold
-// flows until it reports that its upstream has left or it is removed. It is removed
+// flows until it reports that its upstream has left or it is removed. A member that does not
+// report regularly is asked for a report when this process depends on it, and is suspect if it
+// does not answer within AnswerTimeout. A member is removed
 // when neither source has confirmed it for ExpireAfter and it has not answered the requests
 // for a report that Unconfirmed members get meanwhile.
 //
@@ -18,6 +20,9 @@
 //	t.ApplyReport(now, record, interval)
 //	t.ApplyStored(now, records)
 //	home, ok := t.Home(now, service, dataCentre, id.Hash())
+//	if t.Depend(now, home) {
+//		requestReport(home)
+//	}
 //	for _, m := range t.Agents(service) {
 //		ask(m)
 //	}
@@ -45,6 +50,9 @@
 	// suspectIntervals is how many intervals without a report make a member suspect that
 	// reports less often.
 	suspectIntervals = 2
+	// AnswerTimeout is how long a member has to answer a request for a report before it is
+	// suspect: several round trips between data centres.
+	AnswerTimeout = 100 * time.Millisecond
 	// minLocalHomes is the number of agents of a service in a data centre that suffices for
 	// its balancers while some of them restart.
 	minLocalHomes = 3
@@ -182,7 +190,7 @@
 		}
 	}
 	m = t.set(m, rec)
-	m.LastReport, m.interval, m.isStored = now, interval, false
+	m.LastReport, m.interval, m.isStored, m.askedSince = now, interval, false, 0
 	t.updateIndex(now)
 	return true
 }
@@ -257,6 +265,25 @@
 	return s
 }
 
+// Depend records that this process sends a member something that nobody else handles if the
+// member does not. It reports whether the member has to be asked for a report: it does not have
+// to report regularly, and is known from the store or from a change that it reported some time
+// ago. Unconfirmed returns a member that does not answer, until it does.
+func (t *Table) Depend(now instant.Instant, id flow.IP) (ask bool) {
+	m := t.members[id]
+	if m == nil || id == t.self || m.expected || m.askedSince != 0 || m.IsReporting(now) || m.IsSuspect(now) {
+		return false
+	}
+	m.askedSince = now
+	return true
+}
+
+// IsSuspect reports whether a process is a member that is suspect.
+func (t *Table) IsSuspect(now instant.Instant, id flow.IP) bool {
+	m := t.members[id]
+	return m != nil && id != t.self && m.IsSuspect(now)
+}
+
 // Unconfirmed returns the members that have to be asked for a report before they count as
 // gone, ordered by instance. Without the store nobody is removed.
 func (t *Table) Unconfirmed(now instant.Instant) []flow.IP {
--- a/internal/relay/serving/report.go
+++ b/internal/relay/serving/report.go
@@ -234,18 +234,27 @@
 
 // requestReports asks the members that may be gone for a report.
 func (c *Core) requestReports(now instant.Instant) {
-	ids := c.Members.Unconfirmed(now)
-	if len(ids) == 0 {
-		return
+	for _, id := range c.Members.Unconfirmed(now) {
+		c.requestReport(now, id)
+	}
+}
+
+// dependOn asks a member for a report before this process sends it something that nobody else
+// handles, if it is not known to be alive.
+func (c *Core) dependOn(now instant.Instant, id flow.IP) {
+	if c.Members.Depend(now, id) {
+		c.requestReport(now, id)
 	}
+}
+
+// requestReport asks a member for a report.
+func (c *Core) requestReport(now instant.Instant, id flow.IP) {
 	c.updateAudience(now)
 	c.sequence++
-	for _, id := range ids {
-		c.Counts.ReportRequests++
-		c.Send(id, &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{
-			Record: c.Record(now), IntervalMillis: uint32(c.audience.intervals[id] / time.Millisecond), ReplyWanted: true,
-		}}})
-	}
+	c.Counts.ReportRequests++
+	c.Send(id, &message.Envelope{Body: &message.Envelope_Report{Report: &message.Report{
+		Record: c.Record(now), IntervalMillis: uint32(c.audience.intervals[id] / time.Millisecond), ReplyWanted: true,
+	}}})
 }
 
 // sinceHeard returns the time since a member's last report, or "Never".
--- a/internal/relay/serving/search.go
+++ b/internal/relay/serving/search.go
@@ -28,6 +28,11 @@
 		return
 	}
 	s.LastAck, s.Retries = p.AckSeq, 0
+	handedTo := s.HandedTo
+	s.HandedTo = 0
+	if asker := flow.IP(m.Asker); asker != 0 && !s.Asking {
+		c.sendUnsure(now, asker, p.Flow)
+	}
 	if !callerRepeats(p) {
 		// It could reach other upstreams only, and never its own.
 		m.KnownOnly = true
@@ -35,7 +40,7 @@
 	mayDeliver := s.LastPacket.GetKnownOnly() && !m.KnownOnly
 	// A packet that may be delivered stays the one that is, until the next such packet.
 	keepsPacket := s.LastPacket != nil && !s.LastPacket.KnownOnly && m.KnownOnly
-	if keepsPacket || s.ProbedAt != 0 && now.Sub(s.ProbedAt) < probeRetryInterval && !mayDeliver {
+	if keepsPacket || handedTo == 0 && s.ProbedAt != 0 && now.Sub(s.ProbedAt) < probeRetryInterval && !mayDeliver {
 		if !keepsPacket && s.LastPacket.GetOthersIncomplete() && !m.OthersIncomplete {
 			// Only this packet names all services that have to deny the flow.
 			s.LastPacket = m
@@ -48,10 +53,8 @@
 		c.LogNotable("OwnerSearched", "Flow", p.Flow, "Members", len(c.Members.Agents(c.Service)), "Settled", c.Members.IsSettled(now))
 	}
 	s.ProbedAt = now
-	c.deliverElsewhere(now, p.Flow, s, m)
-	s.Rounds++
-	if asker := flow.IP(m.Asker); asker != 0 && !s.Asking {
-		c.sendUnsure(now, asker, p.Flow)
+	if handedTo == 0 {
+		c.deliverElsewhere(now, p.Flow, s, m)
 	}
 	c.probeAgents(now, s, m)
 	c.advanceSearch(now, p.Flow, s)
@@ -66,12 +69,16 @@
 }
 
 // finishAsking ends the first part of a search once no agent is left that could know the
-// owner, nor one of another service of the route.
+// owner, nor one of another service of the route. It waits longer for other services: while one of
+// them may know the owner, the packet must not reach upstreams that do not hold the flow.
 func (c *Core) finishAsking(now instant.Instant, id flow.ID, s *lookup.Search) {
 	if !s.Asking || c.owners.ActiveSearch(id) != s {
 		return
 	}
-	if now.Sub(s.StartedAt) < askTimeout && !(s.AnsweredElsewhere() && c.allAnswered(now, s)) {
+	switch waited := now.Sub(s.StartedAt); {
+	case waited < askTimeout && !(s.AnsweredElsewhere() && c.allAnswered(now, s)):
+		return
+	case waited < askElsewhereTimeout && s.AwaitsElsewhere():
 		return
 	}
 	s.Asking = false
@@ -136,9 +143,14 @@
 	if s == nil {
 		return
 	}
-	if r := c.Members.Member(from); r != nil && r.Service != c.Service {
+	switch r := c.Members.Member(from); {
+	case from == s.HandedTo:
+		// The other home searches now; it has the caller's packets.
+		c.owners.DeleteSearch(id)
+		return
+	case r != nil && r.Service != c.Service:
 		s.AnswerElsewhere(r.Service)
-	} else {
+	default:
 		s.AddUnsure(from)
 	}
 	c.advanceSearch(now, id, s)
@@ -149,23 +161,65 @@
 // while the search waits for an agent of this service that restarts. The homes answer with
 // the owner, or that no agent of theirs knows it; while this search asks, they do not deliver
 // the packet otherwise. They do not reset the flow: that takes the denials of all services,
-// which the search collects in turn. Each second packet goes to the second home, since the
-// first one may be restarting.
+// which the search collects in turn.
 func (c *Core) deliverElsewhere(now instant.Instant, id flow.ID, s *lookup.Search, m *message.Carried) {
 	for _, service := range m.Others {
-		home, ok := c.Members.Home(now, service, m.DataCentre, id.Hash())
-		if second, hasSecond := c.Members.SecondHome(now, service, m.DataCentre, id.Hash()); hasSecond && s.Rounds%2 == 1 {
-			home = second
-		}
+		home, ok := c.homeElsewhere(now, service, m.DataCentre, id)
 		if !ok {
 			c.noteUnknownService(now)
 			continue
 		}
-		s.AddElsewhere(service)
-		c.sendPacket(now, home, &message.Carried{
-			Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre, TimeoutMillis: m.TimeoutMillis, OthersIncomplete: true, KnownOnly: s.Asking, Asker: uint32(c.Self),
-		}, message.Step_StepHome)
+		c.askElsewhere(now, s, m, service, home)
+	}
+}
+
+// homeElsewhere returns the home of a flow in another service. This process knows the agents there
+// from the store alone, so that it asks whether the home is alive.
+func (c *Core) homeElsewhere(now instant.Instant, service, dataCentre string, id flow.ID) (flow.IP, bool) {
+	home, ok := c.Members.Home(now, service, dataCentre, id.Hash())
+	if ok {
+		c.dependOn(now, home)
 	}
+	return home, ok
+}
+
+// askElsewhere passes a packet to the home of a flow in another service.
+func (c *Core) askElsewhere(now instant.Instant, s *lookup.Search, m *message.Carried, service string, home flow.IP) {
+	s.AskElsewhere(service, home)
+	c.sendPacket(now, home, &message.Carried{
+		Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre, TimeoutMillis: m.TimeoutMillis, OthersIncomplete: true, KnownOnly: s.Asking, Asker: uint32(c.Self),
+	}, message.Step_StepHome)
+}
+
+// retryElsewhere passes the last packet of a search to the next home of each other service whose
+// home does not answer. If askAgain is set, it also repeats the packets without an answer, since a
+// datagram may be lost.
+func (c *Core) retryElsewhere(now instant.Instant, id flow.ID, s *lookup.Search, askAgain bool) {
+	s.UnansweredElsewhere(func(service string, o *lookup.OtherSearch) {
+		home, ok := flow.IP(0), false
+		switch {
+		case o.HomeFailed:
+		case c.Members.IsSuspect(now, o.Home):
+			home, ok = c.nextHome(now, id, s, service, o.Home)
+			o.HomeFailed = !ok
+		case askAgain:
+			home, ok = c.homeElsewhere(now, service, s.LastPacket.DataCentre, id)
+		}
+		if ok {
+			c.askElsewhere(now, s, s.LastPacket, service, home)
+		}
+	})
+}
+
+// nextHome returns the home of a flow in another service in place of one that does not answer,
+// false if no agent there is known to be better. That home may have left, so that the members are
+// read again.
+func (c *Core) nextHome(now instant.Instant, id flow.ID, s *lookup.Search, service string, failed flow.IP) (flow.IP, bool) {
+	c.membersWanted = true
+	home, ok := c.homeElsewhere(now, service, s.LastPacket.DataCentre, id)
+	ok = ok && home != failed && !c.Members.IsSuspect(now, home)
+	c.LogNotable("HomeUnanswered", "Flow", id, "Service", service, "Home", failed, "Next", home, "Found", ok, "Took", now.Sub(s.StartedAt))
+	return home, ok
 }
 
 // probeAgents sends a packet to all agents that have not denied the flow. Only those that have
@@ -185,8 +239,12 @@
 		if s.LastPacket == nil {
 			return
 		}
+		due := s.Retries < maxProbeRetries && now.Sub(s.ProbedAt) >= probeRetryInterval
+		if s.HandedTo == 0 {
+			c.retryElsewhere(now, id, s, due && s.Asking)
+		}
 		c.advanceSearch(now, id, s)
-		if s.Retries >= maxProbeRetries || now.Sub(s.ProbedAt) < probeRetryInterval {
+		if !due || s.HandedTo != 0 || c.owners.ActiveSearch(id) != s || now.Sub(s.ProbedAt) < probeRetryInterval {
 			return
 		}
 		s.Retries++
@@ -250,16 +308,19 @@
 	if c.owners.ActiveSearch(id) != s || !c.Members.IsSettled(now) || !selfDenied || len(s.UnlistedPending()) > 0 {
 		return
 	}
+	if s.HandedTo != 0 && !c.handOverFailed(now, id, s) {
+		return
+	}
 	for _, r := range c.Members.Agents(c.Service) {
 		if r.ID() != c.Self && !r.HasLeft(now) && !s.Denied(r.ID()) {
 			return
 		}
 	}
-	c.owners.DeleteSearch(id)
 	handedOn, complete := c.searchNextService(now, id, s)
 	if handedOn {
 		return
 	}
+	c.owners.DeleteSearch(id)
 	if !complete {
 		c.LogNotable("OwnerNotFound", "Flow", id, "Reason", "ServicesUnknown", "Denials", s.Denials())
 		return
@@ -272,8 +333,25 @@
 	c.owners.Searches(func(id flow.ID, s *lookup.Search) { c.finishIfDenied(now, id, s) })
 }
 
+// handOverFailed reports whether the home to which a search was handed over does not answer and
+// another agent of its service may.
+func (c *Core) handOverFailed(now instant.Instant, id flow.ID, s *lookup.Search) bool {
+	r := c.Members.Member(s.HandedTo)
+	switch {
+	case r == nil || !slices.Contains(s.LastPacket.Others, r.Service) && !slices.Contains(s.LastPacket.Unnamed, r.Service):
+		// Its address may belong to another service now.
+		return true
+	case s.HandOverFailed || !r.IsSuspect(now):
+		return false
+	}
+	_, ok := c.nextHome(now, id, s, r.Service, s.HandedTo)
+	s.HandOverFailed = !ok
+	return ok
+}
+
 // searchNextService passes a search to the next service that may hold the flow and reports whether
-// there is one. complete is false if another service may hold the flow that could not be asked.
+// there is one. The search ends here once the home there has confirmed that it has it. complete is
+// false if another service may hold the flow that could not be asked.
 func (c *Core) searchNextService(now instant.Instant, id flow.ID, s *lookup.Search) (handedOn, complete bool) {
 	complete = !s.LastPacket.GetOthersIncomplete()
 	named, unnamed := s.LastPacket.GetOthers(), s.LastPacket.GetUnnamed()
@@ -285,7 +363,7 @@
 		} else {
 			service, named = named[0], named[1:]
 		}
-		home, ok := c.Members.Home(now, service, s.LastPacket.DataCentre, id.Hash())
+		home, ok := c.homeElsewhere(now, service, s.LastPacket.DataCentre, id)
 		if !ok {
 			complete = complete && !c.noteUnknownService(now)
 			continue
@@ -295,9 +373,10 @@
 			c.sendPacket(now, home, &message.Carried{
 				Packet: m.Packet, Service: service, Balancer: m.Balancer, DataCentre: m.DataCentre,
 				TimeoutMillis: m.TimeoutMillis, Others: named, Unnamed: unnamed,
-				OthersIncomplete: !complete, KnownOnly: knownOnly,
+				OthersIncomplete: !complete, KnownOnly: knownOnly, Asker: uint32(c.Self),
 			}, message.Step_StepHome)
 		}
+		s.HandedTo, s.HandOverFailed = home, false
 		return true, complete
 	}
 	return false, complete
--- a/internal/relay/serving/serving.go
+++ b/internal/relay/serving/serving.go
@@ -86,6 +86,9 @@
 	// answer before it delivers packets to upstreams that may not hold the flow: several round
 	// trips between data centres.
 	askTimeout = 100 * time.Millisecond
+	// askElsewhereTimeout is how long it waits for the homes of other services: long enough to
+	// ask a second one and for that one to ask its agents, if the first has left.
+	askElsewhereTimeout = membership.AnswerTimeout + 3*askTimeout
 	// deliveryTimeout is how long a search waits for the answers of the upstreams to which it
 	// has last delivered a packet: an upstream that does not hold the flow answers within a
 	// round trip.
