Ask agents of other data centres whether they are alive

Callers: while all agents of a service in a data centre are silent, a balancer sent their packets to an agent of another data centre, known from the store alone, and stayed with it though it was gone: up to 18 s, until its lease had ended and the entries were read again.

Agents elsewhere report to a balancer only if fewer than three of its own data centre are listed, so that those others were never suspect.

Change: the balancer asks a home that does not report to it for a report, and passes over it once that is unanswered for 100 ms.

Measured: TestHomesElsewhereHaveToAnswer failed before.

--- a/internal/relay/forwarding/forwarding.go
+++ b/internal/relay/forwarding/forwarding.go
@@ -253,6 +253,10 @@
 		c.handleNoAgent(now, p, service)
 		return
 	}
+	if c.Members.Depend(now, home) {
+		c.Counts.ReportRequests++
+		c.sendReport(now, home, true)
+	}
 	m.Step, m.SeveralKinds = message.Step_StepHome, c.Routes.HasSeveralKinds(service)
 	c.Counts.ToHome++
 	c.LogRoutine("PacketToHome", "Flow", p.Flow, "Home", home, "Service", service, "Opens", p.OpensFlow(), "Version", c.Routes.Version())
--- a/internal/relay/forwarding/forwarding_test.go
+++ b/internal/relay/forwarding/forwarding_test.go
@@ -249,3 +249,54 @@
 		}
 	}
 }
+
+// TestHomesElsewhereHaveToAnswer guards against packets that all go to an agent of another data
+// centre that is gone: while those of its own are silent, a balancer knows the others from the
+// store alone.
+func TestHomesElsewhereHaveToAnswer(t *testing.T) {
+	const local, remote = flow.IP(30), flow.IP(40)
+	id := flow.ID{Caller: flow.Endpoint{IP: 1, Port: 1025}, Address: flow.Endpoint{IP: 9, Port: 443}}
+	codec := flow.Codec{DecodeFromCaller: func([]byte) (flow.Packet, bool) { return flow.Packet{Flow: id, Flags: flow.Ack, Len: 1}, true }}
+	c := forwarding.New(forwarding.Config{Self: 20, DataCentre: "a", Codec: codec, FlowLifetime: flow.DefaultLifetime})
+	now := instant.Instant(time.Second)
+	record := func(ip flow.IP, dataCentre string, sequence uint64) *message.Record {
+		return &message.Record{Instance: uint32(ip), Service: "padron", DataCentre: dataCentre, Incarnation: 1, Sequence: sequence, State: message.State_StateReady}
+	}
+	var stored []*message.Record
+	for n := range flow.IP(3) {
+		stored = append(stored, record(local+n, "a", 1), record(remote+n, "b", 1))
+	}
+	c.ApplyConfiguration(now, &routes.Configuration{Version: 1, Routes: []routes.Route{{Address: id.Address, Shares: []routes.Share{{Service: "padron", Weight: 1}}}}}, "Read")
+	c.ApplyStored(now, stored)
+	for n := range flow.IP(3) {
+		sendReportOf(c, now, &message.Report{Record: record(local+n, "a", 2), IntervalMillis: 200})
+	}
+	now = now.Add(time.Second)
+	// send returns the home that gets a packet, and whether it was asked for a report.
+	send := func() (home flow.IP, asked bool) {
+		c.TakeOutput()
+		c.HandlePacket(now, []byte{1})
+		actions, _ := c.TakeOutput()
+		for _, a := range actions {
+			if a.Message.GetCarried() != nil {
+				home = a.To
+			}
+		}
+		for _, a := range actions {
+			asked = asked || a.To == home && a.Message.GetReport().GetReplyWanted()
+		}
+		return home, asked
+	}
+	first, asked := send()
+	qt.Assert(t, first >= remote, qt.IsTrue)
+	qt.Check(t, asked, qt.IsTrue)
+	now = now.Add(2 * membership.AnswerTimeout)
+	second, asked := send()
+	qt.Check(t, second, qt.Not(qt.Equals), first)
+	qt.Check(t, second >= remote, qt.IsTrue)
+	qt.Check(t, asked, qt.IsTrue)
+	sendReportOf(c, now, &message.Report{Record: record(second, "b", 2)})
+	now = now.Add(2 * membership.AnswerTimeout)
+	again, _ := send()
+	qt.Check(t, again, qt.Equals, second)
+}
