Move the schedule of the registry's calls to a package of its own

The virtual fleet is to read and write entries as the daemons do. Package polling decides when, without a clock; the registry keeps the calls. No change of behaviour.

Measured: the tests of the registry pass.

--- a/core_test.go
+++ b/core_test.go
@@ -26,6 +26,7 @@
 	"internal/relay/ejection",
 	"internal/relay/scheduling",
 	"internal/relay/validation",
+	"internal/relay/polling",
 }
 
 // forbidden lists imports that bring input, output or a clock.
--- a/internal/relay/registry/checkpoint.go
+++ b/internal/relay/registry/checkpoint.go
@@ -10,14 +10,7 @@
 
 	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/relay/message"
-)
-
-const (
-	// maxCheckpointRate is the number of checkpoints that all processes together write per
-	// second: a small part of the store's writes.
-	maxCheckpointRate = 20
-	// minCheckpointInterval is the least time between two checkpoints of a process.
-	minCheckpointInterval = 3 * time.Second
+	"github.com/jaytack/jaytack/internal/relay/polling"
 )
 
 // CheckpointPrefix is the key prefix of checkpoints; an instance's address follows.
@@ -82,7 +75,7 @@
 	if cp == nil {
 		return
 	}
-	r.checkpoints.nextWrite = now.Add(max(minCheckpointInterval, time.Duration(r.members)*time.Second/maxCheckpointRate))
+	r.checkpoints.nextWrite = now.Add(polling.CheckpointInterval(r.members))
 	value, err := proto.Marshal(cp)
 	if err != nil || bytes.Equal(value, r.checkpoints.written) {
 		return
--- a/internal/relay/registry/entry.go
+++ b/internal/relay/registry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/polling"
 )
 
 // maxAhead is how far an incarnation may be ahead of the time of day: clocks that were ahead and
@@ -87,13 +88,7 @@
 // this one.
 func (r *Registry) matches(rec *message.Record) bool {
 	current := r.Record()
-	return rec.Service == current.Service && rec.DataCentre == current.DataCentre && isUpstreamLeaving(rec.State) == isUpstreamLeaving(current.State)
-}
-
-// isUpstreamLeaving reports whether an upstream is draining or gone, which other members
-// have to learn from the entry.
-func isUpstreamLeaving(s message.State) bool {
-	return s == message.State_StateDraining || s == message.State_StateGone
+	return rec.Service == current.Service && rec.DataCentre == current.DataCentre && polling.IsLeaving(rec.State) == polling.IsLeaving(current.State)
 }
 
 // verifyOwnEntry marks the own entry for writing if a fresh read also finds none.
@@ -115,11 +110,11 @@
 func (r *Registry) writeEntry(ctx context.Context) error {
 	if r.lease == 0 || r.leaseEra != r.store.Era() {
 		era := r.store.Era()
-		id, err := r.store.Grant(ctx, leaseTTL)
+		id, err := r.store.Grant(ctx, polling.LeaseTTL)
 		if err != nil {
 			return err
 		}
-		r.lease, r.leaseEra, r.nextRenewal = id, era, time.Now().Add(renewInterval)
+		r.lease, r.leaseEra, r.nextRenewal = id, era, time.Now().Add(polling.RenewInterval)
 	}
 	rec := r.Record()
 	rec.Era = int64(r.store.Era())
--- a/internal/relay/registry/oddentry_test.go
+++ b/internal/relay/registry/oddentry_test.go
@@ -15,6 +15,7 @@
 	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/polling"
 )
 
 // nestedGroups returns an unknown field of a message that holds groups nested to a depth.
@@ -165,7 +166,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	_, _, err = f.client().Commit(context.Background(), nil, []store.Put{{Key: Prefix + store.Key(flow.IP(1).String()), Value: value, Lease: lease}})
 	qt.Assert(t, err, qt.IsNil)
-	f.waitUntil(readIntervalMax+2*time.Second, func() bool {
+	f.waitUntil(polling.ReadIntervalMax+2*time.Second, func() bool {
 		rec := f.entry(1)
 		return rec != nil && rec.Incarnation == 5
 	})
--- a/internal/relay/registry/registry.go
+++ b/internal/relay/registry/registry.go
@@ -25,36 +25,13 @@
 	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/polling"
 )
 
 // Prefix is the key prefix of entries; an instance's address follows.
 const Prefix store.Key = store.Prefix + "relay/"
 
 const (
-	// leaseTTL is how long an entry outlives its process: longer than all processes
-	// need to restart after a power failure.
-	leaseTTL = 9 * time.Second
-	// renewInterval is how often the lease is renewed, which shows whether the entry has
-	// lapsed: it has to be rewritten within 2 s.
-	renewInterval = 1800 * time.Millisecond
-	// readIntervalMin is how often entries are read after they have changed. Each read
-	// without a change doubles the interval, up to readIntervalMax. Members that start
-	// tell the others themselves. earlyReadInterval is how often entries are read during
-	// earlyReadPeriod after the own entry was created, since other processes may be
-	// starting too, of which neither has seen the other.
-	earlyReadInterval = 250 * time.Millisecond
-	earlyReadPeriod   = time.Second
-	readIntervalMin   = 1800 * time.Millisecond
-	readIntervalMax   = 9 * time.Second
-	// minReadGap is the least time between two reads that are requested.
-	minReadGap = 500 * time.Millisecond
-	// startupRetryMin is the first retry delay until a read has succeeded, retryMin the
-	// first one afterwards. Each further failure doubles the delay, up to
-	// startupRetryMax or retryMax.
-	startupRetryMin = 30 * time.Millisecond
-	startupRetryMax = 120 * time.Millisecond
-	retryMin        = 100 * time.Millisecond
-	retryMax        = time.Second
 	// maxOddEntries limits the entries of other writers that are remembered as logged.
 	maxOddEntries = 1000
 )
@@ -94,10 +71,8 @@
 	readRequestedAt time.Time
 
 	lease store.LeaseID
-	// readInterval is the interval until the next read. listed holds the entries of the
-	// last one.
-	readInterval   time.Duration
-	earlyReadUntil time.Time
+	// reads says when the entries are read, listed holds those of the last read.
+	reads polling.Schedule
 	// freshRead is set if the next read must not be stale.
 	freshRead bool
 	listed    map[store.Key]store.Revision
@@ -106,7 +81,6 @@
 	leaseEra     store.Era
 	revision     store.Revision
 	nextRenewal  time.Time
-	nextRead     time.Time
 	loaded       bool
 	writePending bool
 	// members is the number of other processes at the last read.
@@ -114,7 +88,6 @@
 	// checkpoints is the state of the checkpoint's key.
 	checkpoints  checkpointState
 	storeFailing bool
-	retryDelay   time.Duration
 	// oddEntries holds the revisions of the entries of other writers that have been logged.
 	oddEntries map[store.Key]store.Revision
 	// era is the store's era. restored is set until the own entry has been checked in it.
@@ -136,10 +109,9 @@
 	return r
 }
 
-// Publish requests a write of the own entry if isUpstreamLeaving differs between the
-// states or if the upstream is gone. Other members learn of other changes by reports.
+// Publish requests a write of the own entry if a change of state needs one.
 func (r *Registry) Publish(before, after message.State) {
-	if isUpstreamLeaving(before) == isUpstreamLeaving(after) && after != message.State_StateGone {
+	if !polling.NeedsWrite(before, after) {
 		return
 	}
 	select {
@@ -148,10 +120,10 @@
 	}
 }
 
-// ReadSoon requests a read of the entries, at most one every minReadGap. It is not safe for
+// ReadSoon requests a read of the entries, at most one every polling.MinReadGap. It is not safe for
 // concurrent use.
 func (r *Registry) ReadSoon() {
-	if time.Since(r.readRequestedAt) < minReadGap {
+	if time.Since(r.readRequestedAt) < polling.MinReadGap {
 		return
 	}
 	r.readRequestedAt = time.Now()
@@ -188,7 +160,8 @@
 		return
 	}
 	r.Warn("StoreRestored", "By", "Registry", "Era", era, "Before", before, "Revision", r.revision, "Lease", r.lease)
-	r.nextRead, r.restored = time.Time{}, true
+	r.reads.Request()
+	r.restored = true
 	if r.writePending {
 		// A write without an answer may have used the lease after it was given out again.
 		r.lease = 0
@@ -196,11 +169,9 @@
 	r.checkpoints.written, r.checkpoints.nextWrite = nil, time.Time{}
 }
 
-// runOnce makes the store calls that are due. It reads the entries again soon after it
-// created its own: of two processes that start together, one then sees the other and
-// reports to it.
+// runOnce makes the store calls that are due.
 func (r *Registry) runOnce(ctx context.Context) error {
-	if !r.loaded || !time.Now().Before(r.nextRead) {
+	if !r.loaded || r.reads.IsDue(time.Now()) {
 		if err := r.readEntries(ctx, r.loaded && !r.restored && !r.freshRead); err != nil {
 			return err
 		}
@@ -220,19 +191,12 @@
 	if err := r.writeEntry(ctx); err != nil || !isFirst {
 		return err
 	}
-	r.earlyReadUntil = time.Now().Add(earlyReadPeriod)
-	r.scheduleRead(earlyReadInterval)
+	r.reads.RecordCreated(time.Now())
 	return nil
 }
 
-// scheduleRead sets the interval until the next read.
-func (r *Registry) scheduleRead(interval time.Duration) {
-	r.readInterval = interval
-	r.nextRead = time.Now().Add(interval)
-}
-
 func (r *Registry) wait(ctx context.Context, err error) {
-	until := r.nextRead
+	until := r.reads.Next()
 	if r.lease != 0 && r.nextRenewal.Before(until) {
 		until = r.nextRenewal
 	}
@@ -244,24 +208,18 @@
 	case <-r.writeRequests:
 		r.writePending = true
 	case <-r.readRequests:
-		r.nextRead, r.freshRead = time.Time{}, true
+		r.reads.Request()
+		r.freshRead = true
 	}
 }
 
 // nextDelay returns the delay before the next runOnce.
 func (r *Registry) nextDelay(err error, untilDue time.Duration) time.Duration {
-	switch {
-	case err == nil:
-		r.retryDelay = retryMin
-		return untilDue
-	case !r.loaded:
-		d := max(r.retryDelay, startupRetryMin)
-		r.retryDelay = min(2*d, startupRetryMax)
-		return d
+	if err != nil {
+		return r.reads.RecordFailure()
 	}
-	d := r.retryDelay
-	r.retryDelay = min(2*r.retryDelay, retryMax)
-	return d
+	r.reads.RecordSuccess()
+	return untilDue
 }
 
 // reportStoreHealth logs and reports changes of the store's availability.
@@ -272,7 +230,7 @@
 		r.OnStoreHealth(false)
 	case err == nil && r.storeFailing:
 		// Entries may have lapsed meanwhile.
-		r.nextRead, r.readInterval = time.Time{}, readIntervalMin
+		r.reads.Reset()
 		r.Info("StoreRegained", "By", "Registry")
 		r.OnStoreHealth(true)
 	}
@@ -286,14 +244,7 @@
 		return err
 	}
 	others := make([]*message.Record, 0, len(kvs))
-	switch changed := r.recordListed(kvs); {
-	case time.Now().Before(r.earlyReadUntil):
-		r.scheduleRead(earlyReadInterval)
-	case changed:
-		r.scheduleRead(readIntervalMin)
-	default:
-		r.scheduleRead(min(2*r.readInterval, readIntervalMax))
-	}
+	r.reads.RecordRead(time.Now(), r.recordListed(kvs))
 	foundOwn := false
 	for _, kv := range kvs {
 		rec, err := decodeEntry(kv)
@@ -337,7 +288,7 @@
 	case err != nil:
 		return err
 	}
-	r.nextRenewal = time.Now().Add(renewInterval)
+	r.nextRenewal = time.Now().Add(polling.RenewInterval)
 	r.OnAnswer()
 	return nil
 }
--- a/internal/relay/registry/registry_test.go
+++ b/internal/relay/registry/registry_test.go
@@ -16,6 +16,7 @@
 	"github.com/jaytack/jaytack/internal/process/store"
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/polling"
 	"github.com/jaytack/jaytack/internal/standin/storage"
 )
 
@@ -145,10 +146,10 @@
 	f := newFixture(t)
 	f.start(1, 1)
 	f.waitUntil(time.Second, func() bool { return f.entry(1) != nil })
-	time.Sleep(earlyReadInterval + 150*time.Millisecond)
+	time.Sleep(polling.EarlyReadInterval + 150*time.Millisecond)
 	value, err := proto.Marshal(&message.Record{Instance: 2, Service: "padron", DataCentre: "a", Incarnation: 1, Sequence: 1})
 	qt.Assert(t, err, qt.IsNil)
-	lease, err := f.client().Grant(context.Background(), leaseTTL)
+	lease, err := f.client().Grant(context.Background(), polling.LeaseTTL)
 	qt.Assert(t, err, qt.IsNil)
 	_, _, err = f.client().Commit(context.Background(), nil, []store.Put{{Key: Prefix + store.Key(flow.IP(2).String()), Value: value, Lease: lease}})
 	qt.Assert(t, err, qt.IsNil)
@@ -197,7 +198,7 @@
 	f := newFixture(t)
 	f.checkpoint = &message.Checkpoint{UpstreamBorn: 7, Flows: []*message.CheckpointFlow{checkpointFlow(9)}}
 	first := f.start(1, 1)
-	f.waitUntil(renewInterval+time.Second, func() bool { return f.checkpointValue(1) != nil })
+	f.waitUntil(polling.RenewInterval+time.Second, func() bool { return f.checkpointValue(1) != nil })
 	first.Close()
 	f.start(1, 2)
 	f.waitUntil(time.Second, func() bool { return len(f.restoredCheckpoints()) == 1 })
