Let the virtual fleet call the store as the daemons do

Now it uses package polling: reads back off to 9 s, leases are renewed every 1.8 s, checkpoints written every 3 s or less often, retries back off to 1 s. Two tests let faults begin after a quiet period of 18 s. A flow counts as astray once 2 s have passed without a packet at its own upstream.

TestFlowsOfAFormerServiceOutliveALeavingHome plays a home that leaves, crashes, is paused or is cut off.

TestDeadMembersAreForgotten waited for the lease and 6 s, of which two reads took 3 s in the old fleet. The two reads of the daemons may be 9 s and 1.8 s away; the bound is made of these.

--- a/internal/standin/relay/formerservice_test.go
+++ b/internal/standin/relay/formerservice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/jaytack/jaytack/internal/relay/flow"
 	"github.com/jaytack/jaytack/internal/relay/routes"
+	"github.com/jaytack/jaytack/internal/relay/serving"
 )
 
 // TestFlowsOfAFormerServiceOutliveRestarts guards against open flows of a service that their
@@ -102,6 +105,63 @@
 	qt.Assert(t, late*100 < all, qt.IsTrue, qt.Commentf("%d of %d late", late, all))
 }
 
+// TestFlowsOfAFormerServiceOutliveALeavingHome guards against open flows whose packets reach other
+// upstreams only, since a search for their owner is handed to an agent of the former service that
+// has left or stopped, of which the store tells the agents of the other service late.
+func TestFlowsOfAFormerServiceOutliveALeavingHome(t *testing.T) {
+	const (
+		moved     = 4 * time.Second
+		restarted = 6 * time.Second
+		leaves    = restarted + 10*time.Second + quietPeriod
+		down      = 300 * time.Millisecond
+	)
+	tests := []struct {
+		name string
+		// stop ends an agent of the former service.
+		stop func(w *World, p *Process)
+	}{
+		{"Left", func(w *World, p *Process) {
+			p.Upstream.Drain(0)
+			w.After(serving.TickInterval, func() { w.Kill(p) })
+		}},
+		{"Crashed", func(w *World, p *Process) { w.Kill(p) }},
+		{"Paused", func(_ *World, p *Process) { p.Paused = true }},
+		{"Unreachable", func(w *World, p *Process) {
+			w.Cut = func(from, to flow.IP) bool { return from == p.IP || to == p.IP }
+		}},
+	}
+	for _, test := range tests {
+		for _, seed := range []uint64{1, 2, 3} {
+			t.Run(fmt.Sprintf("%s/%d", test.name, seed), func(t *testing.T) {
+				t.Parallel()
+				cfg := Registro(seed)
+				cfg.Callers[2].Persistent = true
+				w := New(cfg)
+				w.ReportStrays = true
+				w.At(moved, func() { w.Configure(Address(1), routes.Share{Service: cfg.Services[0].Name, Weight: 1}) })
+				for i, p := range w.Agents {
+					w.At(restarted+time.Duration(i)*800*time.Millisecond, func() { w.Restart(p, down) })
+				}
+				// The only agent of the former service in its data centre.
+				leaving := w.Agents[cfg.Services[0].Upstreams]
+				w.At(leaves, func() {
+					test.stop(w, leaving)
+					for _, p := range w.Balancers {
+						if p.DataCentre == leaving.DataCentre {
+							w.Restart(p, down)
+						}
+					}
+				})
+				w.Run(leaves + 5*time.Second)
+				// Packets of flows at the upstream whose agent has failed may reach others only.
+				own := fmt.Sprintf("than that of %v ", leaving.IP)
+				violations := slices.DeleteFunc(w.Violations, func(v string) bool { return strings.Contains(v, own) })
+				qt.Assert(t, violations, qt.HasLen, 0)
+			})
+		}
+	}
+}
+
 // TestLostEntriesOfAFormerServiceEndNoFlow guards against the reset of open flows by agents that
 // start while the store lacks the entries of the service that holds the flows, and turns away the
 // agents that would write them again.
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -29,6 +29,7 @@
 	"github.com/jaytack/jaytack/internal/relay/forwarding"
 	"github.com/jaytack/jaytack/internal/relay/load"
 	"github.com/jaytack/jaytack/internal/relay/message"
+	"github.com/jaytack/jaytack/internal/relay/polling"
 	"github.com/jaytack/jaytack/internal/relay/routes"
 	"github.com/jaytack/jaytack/internal/relay/serving"
 	"github.com/jaytack/jaytack/internal/relay/warmup"
@@ -40,10 +41,9 @@
 	// maxFailedProbes failed ones in a row a balancer gets no packets.
 	probeInterval   = 500 * time.Millisecond
 	maxFailedProbes = 2
-	// membershipInterval is how often processes write their entry and read all others.
-	membershipInterval = 1500 * time.Millisecond
-	// entryTTL is the lifetime of an entry since it was last written.
-	entryTTL = 9 * time.Second
+	// configurationInterval is how often balancers read the configuration and the history of
+	// the routes.
+	configurationInterval = 1500 * time.Millisecond
 	// storeLatency is the duration of a call to the store.
 	storeLatency = 4 * time.Millisecond
 	// maxStrayTime is how long packets of an open flow may reach other upstreams only, from
@@ -126,10 +126,29 @@
 	startCount   uint64
 	failedProbes int
 	backlog      []func()
+	storeCalls
 	// evacuationsReadAt is the startCount at which the process read the evacuations.
 	evacuationsReadAt uint64
 }
 
+// storeCalls says when a process calls the store.
+type storeCalls struct {
+	reads polling.Schedule
+	// nextRenewal is when the own entry is renewed, readRequestedAt when a read was last
+	// requested.
+	nextRenewal     time.Time
+	readRequestedAt instant.Instant
+	nextCheckpoint  instant.Instant
+	// listed holds the instances with an entry at the last read, members is the number of the
+	// others.
+	listed  map[flow.IP]bool
+	members int
+	// storeAway is set while the store does not answer the process.
+	storeAway bool
+	// publishedState is the state for which the entry was last checked.
+	publishedState message.State
+}
+
 // Running reports whether the process runs.
 func (p *Process) Running() bool { return p.Balancer != nil || p.Agent != nil }
 
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -21,6 +21,8 @@
 )
 
 type upstreamFlow struct {
+	// lastPacket is the last packet of the caller.
+	lastPacket []byte
 	sequence uint32
 	open     bool
 }
@@ -194,8 +196,9 @@
 		return
 	}
 	if f == nil {
-		u.w.recordStray(id)
+		u.w.recordStray(id, b)
 	} else if f.open {
+		f.lastPacket = b
 		delete(u.w.strays, id)
 	}
 	if f == nil && u.ResetsUnknown {
