Let KNOWN-RED.txt name single subtests

A listed name was that of a top-level test, so that the check passed over all of its subtests. It may be that of a subtest now; the others, and a failure of the parent itself, still fail the check.

--- a/cmd/check/main.go
+++ b/cmd/check/main.go
@@ -159,7 +159,7 @@
 		switch {
 		case id.Test == "" && t.hasFailedTest(id.Package):
 			// The package failed because of its tests.
-		case knownNames[topLevelName(id.Test)]:
+		case t.isKnown(id, knownNames):
 			known = append(known, id)
 		default:
 			unexpected = append(unexpected, id)
@@ -195,6 +195,33 @@
 	return false
 }
 
+// isKnown reports whether a failed test is listed, by its own name or that of its top-level test, or
+// failed only because of subtests that are listed.
+func (t *testResults) isKnown(id testID, names map[string]bool) bool {
+	if names[id.Test] || names[topLevelName(id.Test)] {
+		return true
+	}
+	hasFailedSubtest := false
+	for other := range t.failed {
+		if other.Package != id.Package || !strings.HasPrefix(other.Test, id.Test+"/") {
+			continue
+		}
+		if !t.isKnown(other, names) {
+			return false
+		}
+		hasFailedSubtest = true
+	}
+	return hasFailedSubtest && !strings.Contains(t.ownOutput(id), "_test.go:")
+}
+
+// ownOutput returns what a test itself has printed, without its subtests.
+func (t *testResults) ownOutput(id testID) string {
+	if b := t.output[id]; b != nil {
+		return b.String()
+	}
+	return ""
+}
+
 func topLevelName(test string) string {
 	name, _, _ := strings.Cut(test, "/")
 	return name
@@ -205,7 +232,7 @@
 	return ids
 }
 
-// readKnownRed returns the names of the top-level tests that KNOWN-RED.txt lists.
+// readKnownRed returns the names of the tests and subtests that KNOWN-RED.txt lists.
 func readKnownRed() (map[string]bool, error) {
 	out := make(map[string]bool)
 	text, err := os.ReadFile(knownRedFile)
