--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -29,7 +29,6 @@
 	"github.com/jaytack/jaytack/internal/relay/forwarding"
 	"github.com/jaytack/jaytack/internal/relay/load"
 	"github.com/jaytack/jaytack/internal/relay/message"
-	"github.com/jaytack/jaytack/internal/relay/polling"
 	"github.com/jaytack/jaytack/internal/relay/routes"
 	"github.com/jaytack/jaytack/internal/relay/serving"
 	"github.com/jaytack/jaytack/internal/relay/warmup"
@@ -131,24 +130,6 @@
 	evacuationsReadAt uint64
 }
 
-// storeCalls says when a process calls the store.
-type storeCalls struct {
-	reads polling.Schedule
-	// nextRenewal is when the own entry is renewed, readRequestedAt when a read was last
-	// requested.
-	nextRenewal     time.Time
-	readRequestedAt instant.Instant
-	nextCheckpoint  instant.Instant
-	// listed holds the instances with an entry at the last read, members is the number of the
-	// others.
-	listed  map[flow.IP]bool
-	members int
-	// storeAway is set while the store does not answer the process.
-	storeAway bool
-	// publishedState is the state for which the entry was last checked.
-	publishedState message.State
-}
-
 // Running reports whether the process runs.
 func (p *Process) Running() bool { return p.Balancer != nil || p.Agent != nil }
 
--- a/internal/standin/relay/upstream.go
+++ b/internal/standin/relay/upstream.go
@@ -23,8 +23,8 @@
 type upstreamFlow struct {
 	// lastPacket is the last packet of the caller.
 	lastPacket []byte
-	sequence uint32
-	open     bool
+	sequence   uint32
+	open       bool
 }
 
 type upstreamRequest struct {
